--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -159,6 +159,8 @@
 uint64_t hs_timers_advance (struct hs_timers *timers,
                             uint64_t now); /* Runs what is due; ms
                                               until the next call.  */
+uint64_t hs_timers_due (const struct hs_timers *timers); /* ms: not before
+                                                            that is any due. */
 
 /* Flow keys and rendezvous ranking.  */
 
@@ -678,4 +680,457 @@
                              uint64_t now); /* Its streams end.  */
 struct hs_totals hs_tracker_totals (const struct hs_tracker *tracker);
 
+/* Segments: the datagrams of transport flows between a caller's address and
+   an address of a service.  Whoever knows their bytes decodes them once.  */
+
+enum hs_segment_flag
+{
+  HS_SEGMENT_SYN = 1,
+  HS_SEGMENT_ACK = 2,
+  HS_SEGMENT_FIN = 4,
+  HS_SEGMENT_RST = 8,
+  HS_SEGMENT_RETURNED = 16 /* The upstream gave it back: it does not hold the
+                              flow, or cannot accept the SYN.  */
+};
+
+struct hs_segment
+{
+  struct hs_addr from;
+  struct hs_addr to;
+  unsigned int flags; /* Of enum hs_segment_flag.  */
+  uint32_t seq;
+  uint32_t ack;
+  uint16_t len; /* Bytes of payload.  */
+};
+
+struct hs_segment_key
+{
+  struct hs_addr caller;
+  struct hs_addr address; /* Of the service.  */
+};
+
+uint64_t hs_segment_key_hash (const struct hs_segment_key *key);
+struct hs_segment_key hs_segment_key (const struct hs_segment *segment,
+                                      bool from_caller);
+bool hs_segment_opens (const struct hs_segment *segment); /* A plain SYN.  */
+
+/* Configuration: all routes of a system under one version.  */
+
+enum hs_work
+{
+  HS_WORK_IDEMPOTENT,
+  HS_WORK_ONCE,  /* Not idempotent.  */
+  HS_WORK_UPLOAD /* Not idempotent, with a large body.  */
+};
+
+struct hs_split
+{
+  const char *service;
+  uint32_t weight; /* Share of new flows, relative.  */
+};
+
+struct hs_service_route
+{
+  const char *name;
+  struct hs_addr address; /* Callers send there.  */
+  enum hs_work work;
+  uint32_t timeout_ms; /* Of a request.  */
+  uint32_t slo_ms;     /* Latency objective of a request.  */
+  uint32_t priority;   /* 0 is the highest.  */
+  size_t splits_len;
+  struct hs_split *splits;
+};
+
+struct hs_configuration
+{
+  uint64_t version; /* The highest is in force.  */
+  size_t routes_len;
+  struct hs_service_route *routes;
+  size_t services_len;
+  const char **services;
+  uint32_t flow_idle_ms; /* Silence after which a flow may be given up.  */
+};
+
+bool hs_configuration_check (const struct hs_configuration *configuration,
+                             GError **error); /* HS_ERROR_INVALID names the
+                                                 route and the field.  */
+
+/* Routing: a configuration made ready for look-ups.  */
+
+#define HS_SPLITS_MAX 8 /* Services of a route.  */
+
+struct hs_routing;
+
+struct hs_rule_split
+{
+  uint64_t service; /* hs_slot_from_name of its name.  */
+  uint32_t weight;
+};
+
+struct hs_routing_rule
+{
+  struct hs_table_node node;
+  struct hs_addr address;
+  enum hs_work work;
+  uint32_t timeout_ms;
+  uint32_t slo_ms;
+  uint32_t priority;
+  uint32_t weight; /* Sum of the splits'.  */
+  size_t splits_len;
+  struct hs_rule_split splits[HS_SPLITS_MAX];
+};
+
+struct hs_routing *
+hs_routing_create (void *parent, const struct hs_configuration *configuration);
+void hs_routing_destroy (struct hs_routing *routing);
+uint64_t hs_routing_version (const struct hs_routing *routing);
+uint32_t hs_routing_flow_idle_ms (const struct hs_routing *routing);
+const struct hs_routing_rule *
+hs_routing_find (const struct hs_routing *routing,
+                 const struct hs_addr *address); /* NULL: no route.  */
+uint64_t hs_routing_pick (const struct hs_routing_rule *rule,
+                          uint64_t hash); /* Service, by weight.  */
+
+/* Fleet: the agents that an entry places new flows on, by their load.  */
+
+#define HS_REPORT_MS 200 /* Between two reports of an agent.  */
+
+/* Silence after which an agent gets no new flows: three reports lost.  */
+#define HS_FLEET_FRESH_MS 700
+
+/* Silence after which an agent is forgotten: longer than any restart.  */
+#define HS_FLEET_LIFE_MS 15000
+
+enum hs_backend_state
+{
+  HS_BACKEND_READY,
+  HS_BACKEND_LEAVING, /* Draining: its flows go on.  */
+  HS_BACKEND_ABSENT   /* Its upstream is not heard of, or silent.  */
+};
+
+struct hs_load_report
+{
+  uint64_t slot; /* Of the agent.  */
+  uint64_t incarnation;
+  uint64_t seq;     /* Grows within the incarnation.  */
+  uint64_t service; /* hs_slot_from_name of its name.  */
+  struct hs_addr address;
+  enum hs_backend_state state;
+  uint32_t slots;   /* Requests the upstream runs at once.  */
+  uint32_t busy;    /* Requests in progress or queued there.  */
+  uint32_t flows;   /* Open.  */
+  uint32_t cold_ms; /* How much longer the upstream is slow.  */
+  char zone[HS_NAME_SIZE];
+};
+
+struct hs_backend
+{
+  struct hs_table_node node; /* By slot.  */
+  struct hs_list link;
+  struct hs_load_report report;
+  uint64_t heard_at; /* ms  */
+  uint32_t placed;   /* Flows placed here since the report.  */
+  bool in_zone;      /* Of the entry.  */
+};
+
+struct hs_fleet;
+
+struct hs_fleet *hs_fleet_create (void *parent, const char *zone);
+void hs_fleet_destroy (struct hs_fleet *fleet);
+bool hs_fleet_report (struct hs_fleet *fleet,
+                      const struct hs_load_report *report,
+                      uint64_t now); /* True: its state has changed.  */
+void hs_fleet_set_state (struct hs_fleet *fleet, uint64_t slot,
+                         enum hs_backend_state state); /* Until the next
+                                                          report.  */
+const struct hs_backend *hs_fleet_find (const struct hs_fleet *fleet,
+                                        uint64_t slot); /* NULL: unknown.  */
+bool hs_fleet_takes_flows (const struct hs_backend *backend, uint64_t now);
+const struct hs_backend *
+hs_fleet_choose (struct hs_fleet *fleet, uint64_t service,
+                 const uint64_t *excluded, size_t excluded_len,
+                 uint64_t now); /* For a new flow, which is counted; NULL:
+                                   none takes it.  */
+size_t hs_fleet_of_service (const struct hs_fleet *fleet, uint64_t service,
+                            const struct hs_backend **backends,
+                            size_t max); /* 0: of every service.  */
+void hs_fleet_expire (struct hs_fleet *fleet, uint64_t now);
+
+/* Steering: what an entry does with a segment of a caller.  */
+
+#define HS_STEER_MAX 64             /* Agents a segment is sent to.  */
+#define HS_STEER_TRIES 4            /* Agents a SYN is offered to.  */
+#define HS_STEERING_FLOWS_MAX 65536 /* Flows an entry knows.  */
+
+enum hs_steer_kind
+{
+  HS_STEER_FORWARD, /* To the agents of TO.  */
+  HS_STEER_RESET,   /* Tell the caller that the flow is not open.  */
+  HS_STEER_DROP
+};
+
+struct hs_steer
+{
+  enum hs_steer_kind kind;
+  enum hs_reason reason;
+  bool placed; /* FORWARD: the flow is new.  */
+  bool ask;    /* FORWARD: only the agent that holds the flow takes it, and
+                  says so.  */
+  size_t len;
+  const struct hs_backend *to[HS_STEER_MAX];
+};
+
+struct hs_steering;
+
+struct hs_steering *hs_steering_create (void *parent, struct hs_fleet *fleet);
+void hs_steering_destroy (struct hs_steering *steering);
+void hs_steering_set_routing (struct hs_steering *steering,
+                              const struct hs_routing *routing); /* Kept by
+                                                         the caller.  */
+struct hs_steer hs_steering_route (struct hs_steering *steering,
+                                   const struct hs_segment *segment,
+                                   uint64_t now);
+struct hs_steer hs_steering_refused (struct hs_steering *steering,
+                                     const struct hs_segment *syn,
+                                     uint64_t slot, enum hs_reason reason,
+                                     uint64_t now); /* By that agent.  */
+void hs_steering_held (struct hs_steering *steering,
+                       const struct hs_segment_key *key, uint64_t slot,
+                       uint64_t now);
+void hs_steering_expire (struct hs_steering *steering, uint64_t now);
+size_t hs_steering_flows (const struct hs_steering *steering);
+
+/* Sidecar: what an agent does with the segments of its upstream's flows.  */
+
+#define HS_SIDECAR_FLOWS_MAX 16384 /* Flows of one upstream.  */
+#define HS_SIDECAR_TICK_MS 100
+
+enum hs_upstream_state
+{
+  HS_UPSTREAM_UNKNOWN, /* Nothing heard yet, or silent.  */
+  HS_UPSTREAM_READY,
+  HS_UPSTREAM_DRAINING,
+  HS_UPSTREAM_GONE /* It said goodbye.  */
+};
+
+struct hs_heartbeat
+{
+  char id[HS_NAME_SIZE];
+  char service[HS_NAME_SIZE];
+  struct hs_addr address;
+  enum hs_upstream_state state;
+  uint32_t slots;
+  uint32_t cold_ms;
+  uint64_t born; /* Wall clock of its start, ms; orders its starts.  */
+  uint64_t seq;  /* Grows within one start.  */
+};
+
+enum hs_sidecar_action
+{
+  HS_SIDECAR_DELIVER, /* To the upstream.  */
+  HS_SIDECAR_ANSWER,  /* To the caller.  */
+  HS_SIDECAR_REFUSE,  /* The SYN back to the entry: it has not run.  */
+  HS_SIDECAR_RESET,   /* Tell the caller that the flow is gone.  */
+  HS_SIDECAR_DROP
+};
+
+struct hs_sidecar_step
+{
+  enum hs_sidecar_action action;
+  enum hs_reason reason;
+  bool opened;          /* The flow is new here.  */
+  bool held;            /* Tell the entry that asked.  */
+  struct hs_addr entry; /* REFUSE: where the SYN came from.  */
+};
+
+struct hs_sidecar;
+
+struct hs_sidecar *hs_sidecar_create (void *parent, const char *service,
+                                      const struct hs_addr *upstream,
+                                      uint64_t heartbeat_ms,
+                                      uint64_t wall_ms); /* Of its start.  */
+void hs_sidecar_destroy (struct hs_sidecar *sidecar);
+bool hs_sidecar_heartbeat (struct hs_sidecar *sidecar,
+                           const struct hs_heartbeat *heartbeat, uint64_t now,
+                           GError **error); /* False: not this upstream's.  */
+void hs_sidecar_goodbye (struct hs_sidecar *sidecar, const char *id);
+void hs_sidecar_leave (struct hs_sidecar *sidecar); /* The agent stops.  */
+struct hs_sidecar_step hs_sidecar_from_entry (struct hs_sidecar *sidecar,
+                                              const struct hs_segment *segment,
+                                              const struct hs_addr *entry,
+                                              uint64_t service, bool ask,
+                                              uint64_t now);
+struct hs_sidecar_step
+hs_sidecar_from_upstream (struct hs_sidecar *sidecar,
+                          const struct hs_segment *segment, uint64_t now);
+void hs_sidecar_tick (struct hs_sidecar *sidecar, uint64_t now);
+void hs_sidecar_load (const struct hs_sidecar *sidecar,
+                      struct hs_load_report *report); /* Its state, slots,
+                                            busy, flows and cold time.  */
+
+/* Replica: one host of a control group, which keeps a log of commands that a
+   majority has on disk.  Elections have a round of pre-votes, a leader that
+   hears no majority steps down, the group changes one host at a time, and
+   reads are proved by a round of the majority, not by a clock.  */
+
+#define HS_GROUP_MAX 15           /* Voting hosts.  */
+#define HS_COMMAND_SIZE_MAX 56000 /* Bytes: an entry fits a datagram.  */
+#define HS_APPEND_MAX 16          /* Entries of a message.  */
+#define HS_REPLICA_TICK_MS 50
+
+struct hs_control_host
+{
+  uint64_t id; /* Of the host's disk: an empty one gets a new id.  */
+  struct hs_addr inner;
+  struct hs_addr api; /* Where operators reach it.  */
+};
+
+struct hs_members
+{
+  size_t len;
+  struct hs_control_host hosts[HS_GROUP_MAX];
+};
+
+enum hs_log_kind
+{
+  HS_LOG_NOOP,    /* The first of a leader's term.  */
+  HS_LOG_COMMAND, /* Of the user's.  */
+  HS_LOG_MEMBERS  /* The group from here on.  */
+};
+
+struct hs_log_entry
+{
+  struct hs_list link;
+  uint64_t index; /* From 1.  */
+  uint64_t term;
+  enum hs_log_kind kind;
+  struct hs_members members; /* MEMBERS  */
+  size_t len;                /* COMMAND  */
+  uint8_t *data;
+};
+
+/* Everything up to INDEX, in place of its entries.  */
+struct hs_log_base
+{
+  uint64_t index;
+  uint64_t term;
+  struct hs_members members;
+  size_t len;
+  uint8_t *data;
+};
+
+enum hs_replica_message_type
+{
+  HS_REPLICA_ASK_VOTE = 1,
+  HS_REPLICA_VOTE,
+  HS_REPLICA_APPEND,
+  HS_REPLICA_APPENDED,
+  HS_REPLICA_BASE,     /* For a log that is too far behind.  */
+  HS_REPLICA_JOIN,     /* From a host outside the group.  */
+  HS_REPLICA_TAKE_OVER /* From a leader that stops.  */
+};
+
+struct hs_replica_message
+{
+  enum hs_replica_message_type type;
+  uint64_t to; /* Id; 0: whoever is there.  */
+  struct hs_control_host from;
+  uint64_t term;
+  uint64_t index;    /* ASK_VOTE: last of the log; APPEND: that before the
+                        entries; APPENDED: up to which the logs agree.  */
+  uint64_t log_term; /* ASK_VOTE, APPEND: of that entry.  */
+  uint64_t commit;   /* APPEND, BASE  */
+  uint64_t round;    /* APPEND, APPENDED: see hs_replica_read.  */
+  bool pre;          /* ASK_VOTE, VOTE: nothing is promised yet.  */
+  bool granted;      /* VOTE, APPENDED  */
+  size_t entries_len;
+  const struct hs_log_entry *entries[HS_APPEND_MAX];
+  const struct hs_log_base *base;
+};
+
+/* What must be on disk, in this order.  */
+enum hs_replica_record_type
+{
+  HS_REPLICA_RECORD_HOST = 1, /* The id of this disk.  */
+  HS_REPLICA_RECORD_TERM,     /* Term and vote.  */
+  HS_REPLICA_RECORD_ENTRY,    /* Takes the place of those from its index on. */
+  HS_REPLICA_RECORD_BASE      /* Takes the place of the whole log.  */
+};
+
+struct hs_replica_record
+{
+  enum hs_replica_record_type type;
+  uint64_t id;   /* HOST  */
+  uint64_t term; /* TERM  */
+  uint64_t vote; /* TERM: id; 0: none.  */
+  const struct hs_log_entry *entry;
+  const struct hs_log_base *base;
+};
+
+struct hs_replica;
+
+struct hs_replica_ops
+{
+  void (*send) (void *ctx, const struct hs_addr *to,
+                const struct hs_replica_message *message);
+
+  /* Of records since the last call of "sync".  */
+  void (*write) (void *ctx, const struct hs_replica_record *record);
+
+  /* All written so far is to be synced; hs_replica_synced (SEQ) follows.  */
+  void (*sync) (void *ctx, uint64_t seq);
+  void (*apply) (void *ctx, const struct hs_log_entry *entry); /* COMMAND  */
+  void (*restore) (void *ctx, const uint8_t *data, size_t len);
+  uint8_t *(*save) (void *ctx, void *parent, size_t *len); /* For restore.  */
+  void (*changed) (void *ctx); /* Role, leader or group.  */
+};
+
+struct hs_replica *
+hs_replica_create (void *parent, const struct hs_control_host *self,
+                   uint64_t seed, const struct hs_replica_ops *ops, void *ctx);
+void hs_replica_destroy (struct hs_replica *replica);
+
+/* Before the start: what is on disk, or else a first group, or else nothing,
+   to join a group later.  */
+void hs_replica_load (struct hs_replica *replica,
+                      const struct hs_replica_record *record);
+void hs_replica_found (struct hs_replica *replica,
+                       const struct hs_members *members);
+void hs_replica_start (struct hs_replica *replica, uint64_t now);
+
+void hs_replica_tick (struct hs_replica *replica,
+                      uint64_t now); /* Every HS_REPLICA_TICK_MS.  */
+void hs_replica_receive (struct hs_replica *replica,
+                         const struct hs_replica_message *message,
+                         uint64_t now);
+void hs_replica_synced (struct hs_replica *replica, uint64_t seq,
+                        uint64_t now);
+void hs_replica_set_disk (struct hs_replica *replica,
+                          bool works); /* False: it promises nothing.  */
+void hs_replica_image (struct hs_replica *replica); /* Writes all that must be
+                                             on disk anew, and syncs it.  */
+void hs_replica_set_contacts (struct hs_replica *replica,
+                              const struct hs_addr *contacts,
+                              size_t len); /* Hosts to ask to join.  */
+uint64_t hs_replica_propose (struct hs_replica *replica, const uint8_t *data,
+                             size_t len, uint64_t now); /* Its index; 0: not
+                                                           the leader.  */
+uint64_t hs_replica_read (struct hs_replica *replica,
+                          uint64_t now); /* Its round; 0: not the leader.  */
+uint64_t hs_replica_confirmed (
+    const struct hs_replica *replica); /* Reads up to that round see all that
+                                          was committed before them.  */
+void hs_replica_hand_over (struct hs_replica *replica,
+                           uint64_t now); /* Of the lead, if it leads.  */
+bool hs_replica_leads (const struct hs_replica *replica);
+bool hs_replica_leader (const struct hs_replica *replica,
+                        struct hs_control_host *leader); /* False: none.  */
+uint64_t hs_replica_term (const struct hs_replica *replica);
+uint64_t hs_replica_last (const struct hs_replica *replica);    /* Index.  */
+uint64_t hs_replica_applied (const struct hs_replica *replica); /* Index.  */
+const struct hs_members *hs_replica_members (const struct hs_replica *replica);
+size_t hs_replica_hosts (const struct hs_replica *replica,
+                         struct hs_control_host *hosts,
+                         size_t max); /* Members, and those that follow.  */
+
 #endif /* HIBISCUSSPAN_H */
--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -64,6 +64,7 @@
 void
 hs_agent_destroy (struct hs_agent *agent)
 {
+  hs_datapath_stop (agent->path);
   hs_datapath_destroy (agent->path);
   talloc_free (agent);
 }
--- /dev/null
+++ b/src/agent/segment_agent.c
@@ -0,0 +1,544 @@
+/* segment_agent.c -- the agent daemon of segment flows, one beside each
+   upstream.
+
+   Threads: receive, decide (this file; its decisions are in segment/), send,
+   two HTTP servers, log.  */
+
+#include "agent/segment_agent.h"
+#include "base/auto.h"
+#include "daemon/front.h"
+
+#include <string.h>
+#include <unistd.h>
+
+/* Types.  */
+
+#define BATCHES 16
+#define TAG_UPSTREAM 1
+#define CALLS_QUEUED 64
+
+#define STATUS_OK 200
+#define STATUS_BAD_REQUEST 400
+#define STATUS_NOT_FOUND 404
+#define STATUS_UNAVAILABLE 503
+
+/* For entries to stop placing flows here: a report and its way.  */
+#define DRAIN_MS 300
+
+/* A call of the upstream, on its way from the HTTP thread.  */
+struct call
+{
+  struct hs_http_request *request;
+  enum hs_operation operation; /* HEARTBEAT or GOODBYE  */
+  char id[HS_NAME_SIZE];
+  struct hs_heartbeat heartbeat;
+};
+
+struct agent_counters
+{
+  struct hs_counter *delivered;
+  struct hs_counter *answered;
+  struct hs_counter *opened;
+  struct hs_counter *refused;
+  struct hs_counter *resets;
+  struct hs_counter *dropped;
+  struct hs_counter *held;
+  struct hs_counter *heartbeats;
+  struct hs_counter *heartbeats_refused;
+  struct hs_counter *busy;
+  struct hs_counter *flows;
+  struct hs_counter *state;
+};
+
+struct hs_segment_agent
+{
+  struct hs_segment_agent_settings settings;
+  struct hs_log *log;
+  struct hs_counters *counters;
+  struct agent_counters counts;
+  struct hs_front *front;
+  struct hs_http *heartbeats;
+  struct hs_ring *calls; /* Of struct call.  */
+  int outbound_fd;
+
+  /* Of the decide thread alone.  */
+  struct hs_sidecar *sidecar;
+  uint64_t report_seq;
+  uint64_t report_due;  /* ms  */
+  uint64_t drained_due; /* ms; 0: not draining  */
+  enum hs_backend_state reported;
+};
+
+/* Private functions.  */
+
+static void create_counters (struct hs_segment_agent *agent);
+static bool open_all (struct hs_segment_agent *agent, GError **error);
+static void on_request (void *ctx, struct hs_http_request *request);
+static bool read_call (struct hs_segment_agent *agent, struct call *call,
+                       GError **error);
+static void refuse_call (struct call *call, unsigned int status,
+                         const char *message);
+static void on_call (void *ctx, void *item);
+static void on_heartbeat (struct hs_segment_agent *agent, struct call *call);
+static void on_packet (void *ctx, struct hs_packet *packet, uint64_t now);
+static void on_inner (void *ctx, struct hs_packet *packet,
+                      const struct hs_inner *inner, uint64_t now);
+static void on_configuration (void *ctx, const uint8_t *bytes, size_t len);
+static void on_tick (void *ctx, uint64_t now);
+static void on_drain (void *ctx, uint64_t now);
+static void carry_out (struct hs_segment_agent *agent,
+                       struct hs_packet *packet,
+                       const struct hs_segment *segment,
+                       const struct hs_sidecar_step *step, uint64_t service);
+static void refuse_syn (struct hs_segment_agent *agent,
+                        struct hs_packet *packet,
+                        const struct hs_sidecar_step *step, uint64_t service);
+static void reset_caller (struct hs_segment_agent *agent,
+                          struct hs_packet *packet,
+                          const struct hs_segment *segment);
+static void tell_held (struct hs_segment_agent *agent,
+                       struct hs_segment_key key, const struct hs_addr *entry);
+static void log_step (struct hs_segment_agent *agent,
+                      const struct hs_segment *segment,
+                      const struct hs_sidecar_step *step);
+static void send_reports (struct hs_segment_agent *agent, uint64_t now);
+
+/* Public definitions.  */
+
+struct hs_segment_agent *
+hs_segment_agent_create (const struct hs_segment_agent_settings *settings,
+                         struct hs_log *log, GError **error)
+{
+  struct hs_segment_agent *agent = talloc_zero (NULL, struct hs_segment_agent);
+
+  agent->settings = *settings;
+  agent->log = log;
+  agent->reported = HS_BACKEND_ABSENT;
+  agent->calls = hs_ring_create (agent, CALLS_QUEUED);
+  create_counters (agent);
+  agent->outbound_fd = hs_socket_bind (&settings->outbound, error);
+  if (agent->outbound_fd >= 0 && open_all (agent, error))
+    return agent;
+  if (agent->outbound_fd >= 0)
+    close (agent->outbound_fd);
+  talloc_free (agent);
+  return NULL;
+}
+
+void
+hs_segment_agent_destroy (struct hs_segment_agent *agent)
+{
+  void *item;
+
+  hs_front_stop (agent->front);
+  while ((item = hs_ring_pop (agent->calls)) != NULL)
+    refuse_call (item, STATUS_UNAVAILABLE, "this agent stops");
+  hs_http_destroy (agent->heartbeats);
+  hs_front_destroy (agent->front);
+  close (agent->outbound_fd);
+  talloc_free (agent);
+}
+
+void
+hs_segment_agent_start (struct hs_segment_agent *agent)
+{
+  hs_front_start (agent->front);
+  hs_front_set_ready (agent->front, NULL);
+}
+
+void
+hs_segment_agent_set_seeds (struct hs_segment_agent *agent,
+                            const struct hs_addrs *seeds)
+{
+  hs_front_set_seeds (agent->front, seeds);
+}
+
+void
+hs_segment_agent_drain (struct hs_segment_agent *agent)
+{
+  hs_front_drain (agent->front);
+}
+
+/* Private definitions.  */
+
+static void
+create_counters (struct hs_segment_agent *agent)
+{
+  struct hs_counters *all = hs_counters_create (agent, "hibiscusspan_agent");
+  struct agent_counters *counts = &agent->counts;
+
+  agent->counters = all;
+  counts->delivered = hs_counter_create (all, "segments_delivered_total",
+                                         "Segments given to the upstream.");
+  counts->answered = hs_counter_create (
+      all, "segments_answered_total", "Segments of the upstream to callers.");
+  counts->opened = hs_counter_create (all, "flows_opened_total",
+                                      "SYNs given to the upstream.");
+  counts->refused = hs_counter_create (all, "syns_refused_total",
+                                       "SYNs given back to entries.");
+  counts->resets
+      = hs_counter_create (all, "resets_total",
+                           "Callers told that the upstream has lost their "
+                           "flow.");
+  counts->dropped
+      = hs_counter_create (all, "segments_dropped_total",
+                           "Segments of flows that are not held here.");
+  counts->held = hs_counter_create (all, "flows_claimed_total",
+                                    "Entries told that a flow is held here.");
+  counts->heartbeats = hs_counter_create (
+      all, "heartbeats_total", "Heartbeats of the upstream acknowledged.");
+  counts->heartbeats_refused = hs_counter_create (
+      all, "heartbeats_refused_total", "Heartbeats that name no upstream.");
+  counts->busy = hs_gauge_create (all, "requests_in_progress",
+                                  "Requests at the upstream.");
+  counts->flows
+      = hs_gauge_create (all, "flows", "Flows open at the upstream.");
+  counts->state
+      = hs_gauge_create (all, "state", "0 ready, 1 leaving, 2 absent.");
+}
+
+static bool
+open_all (struct hs_segment_agent *agent, GError **error)
+{
+  const struct hs_segment_agent_settings *settings = &agent->settings;
+  struct hs_front_settings front = { .name = settings->name,
+                                     .zone = settings->zone,
+                                     .role = HS_ROLE_AGENT,
+                                     .inner = settings->inner,
+                                     .health = settings->health,
+                                     .seeds = settings->seeds,
+                                     .seed_port = settings->seed_port,
+                                     .batches = BATCHES,
+                                     .dialect = settings->dialect };
+  struct hs_front_ops ops
+      = { on_packet, on_inner, on_configuration, on_tick, on_drain };
+  struct hs_duty *decide;
+
+  agent->front = hs_front_create (agent, &front, &ops, agent, agent->counters,
+                                  agent->log, error);
+  if (agent->front == NULL)
+    return false;
+  decide = agent->front->path->decide;
+  agent->sidecar
+      = hs_sidecar_create (decide, settings->service, &settings->upstream,
+                           settings->heartbeat_ms, hs_clock_wall ());
+  hs_duty_watch_ring (decide, agent->calls, on_call, agent);
+  hs_receiver_watch (agent->front->path->receiver, agent->outbound_fd,
+                     TAG_UPSTREAM);
+  agent->heartbeats
+      = hs_http_create (&settings->heartbeats, on_request, agent, error);
+  if (agent->heartbeats != NULL)
+    return true;
+  hs_front_destroy (agent->front);
+  return false;
+}
+
+/* Bytes that cannot be read name no upstream, and change nothing.  */
+static void
+on_request (void *ctx, struct hs_http_request *request)
+{
+  struct hs_segment_agent *agent = ctx;
+  struct call *call = talloc_zero (NULL, struct call);
+  const struct hs_dialect *dialect = agent->settings.dialect;
+  g_autoptr (GError) error = NULL;
+
+  call->request = request;
+  call->operation
+      = dialect->read_operation (dialect->ctx, hs_http_method (request),
+                                 hs_http_path (request), call->id);
+  if (call->operation != HS_OPERATION_HEARTBEAT
+      && call->operation != HS_OPERATION_GOODBYE)
+    {
+      refuse_call (call, STATUS_NOT_FOUND, "no such call here");
+      return;
+    }
+  if (!read_call (agent, call, &error))
+    {
+      hs_counter_add (agent->counts.heartbeats_refused, 1);
+      hs_log_write (agent->log, HS_LOG_WARNING, "heartbeat-refused",
+                    "{s:s, s:s}", "upstream", call->id, "error",
+                    error->message);
+      refuse_call (call, STATUS_BAD_REQUEST, error->message);
+      return;
+    }
+  if (!hs_ring_push (agent->calls, call))
+    refuse_call (call, STATUS_UNAVAILABLE, "too many calls wait");
+}
+
+static bool
+read_call (struct hs_segment_agent *agent, struct call *call, GError **error)
+{
+  const struct hs_dialect *dialect = agent->settings.dialect;
+  size_t len;
+  const char *body = hs_http_body (call->request, &len);
+
+  if (call->operation != HS_OPERATION_HEARTBEAT)
+    return true;
+  return dialect->decode_heartbeat (dialect->ctx, call->id, body, len,
+                                    &call->heartbeat, error);
+}
+
+static void
+refuse_call (struct call *call, unsigned int status, const char *message)
+{
+  hs_http_answer (call->request, status, "text/plain", message);
+  talloc_free (call);
+}
+
+static void
+on_call (void *ctx, void *item)
+{
+  struct hs_segment_agent *agent = ctx;
+  struct call *call = item;
+
+  if (call->operation == HS_OPERATION_HEARTBEAT)
+    {
+      on_heartbeat (agent, call);
+      return;
+    }
+  hs_sidecar_goodbye (agent->sidecar, call->id);
+  hs_log_write (agent->log, HS_LOG_INFO, "upstream-goodbye", "{s:s}",
+                "upstream", call->id);
+  hs_http_answer (call->request, STATUS_OK, "application/json", "{}");
+  talloc_free (call);
+  send_reports (agent, hs_clock_now ());
+}
+
+static void
+on_heartbeat (struct hs_segment_agent *agent, struct call *call)
+{
+  struct hs_load_report load;
+  uint64_t now = hs_clock_now ();
+  g_autoptr (GError) error = NULL;
+
+  if (!hs_sidecar_heartbeat (agent->sidecar, &call->heartbeat, now, &error))
+    {
+      hs_counter_add (agent->counts.heartbeats_refused, 1);
+      hs_log_write (agent->log, HS_LOG_WARNING, "heartbeat-refused",
+                    "{s:s, s:s}", "upstream", call->id, "error",
+                    error->message);
+      refuse_call (call, STATUS_BAD_REQUEST, error->message);
+      return;
+    }
+  hs_counter_add (agent->counts.heartbeats, 1);
+  hs_sidecar_load (agent->sidecar, &load);
+  if (load.state != agent->reported)
+    {
+      hs_log_write (agent->log, HS_LOG_INFO, "upstream-state",
+                    "{s:s, s:i, s:I, s:I, s:i}", "upstream", call->id, "state",
+                    (int)load.state, "born", (json_int_t)call->heartbeat.born,
+                    "seq", (json_int_t)call->heartbeat.seq, "slots",
+                    (int)load.slots);
+      send_reports (agent, now);
+    }
+  hs_http_answer (call->request, STATUS_OK, "application/json", "{}");
+  talloc_free (call);
+}
+
+static void
+on_packet (void *ctx, struct hs_packet *packet, uint64_t now)
+{
+  struct hs_segment_agent *agent = ctx;
+  const struct hs_dialect *dialect = agent->settings.dialect;
+  struct hs_segment segment;
+  struct hs_sidecar_step step;
+
+  if (!dialect->decode_segment (dialect->ctx, hs_packet_bytes (packet),
+                                packet->len, &segment))
+    {
+      hs_counter_add (agent->front->malformed, 1);
+      return;
+    }
+  step = hs_sidecar_from_upstream (agent->sidecar, &segment, now);
+  if ((segment.flags & HS_SEGMENT_RETURNED) != 0)
+    dialect->restore_segment (dialect->ctx, hs_packet_bytes (packet));
+  carry_out (agent, packet, &segment, &step, 0);
+}
+
+static void
+on_inner (void *ctx, struct hs_packet *packet, const struct hs_inner *inner,
+          uint64_t now)
+{
+  struct hs_segment_agent *agent = ctx;
+  const struct hs_dialect *dialect = agent->settings.dialect;
+  bool is_ours = inner->header.slot == agent->front->slot;
+  struct hs_segment segment;
+  struct hs_sidecar_step step;
+
+  if (inner->type != HS_INNER_FORWARD)
+    return;
+  if (!dialect->decode_segment (dialect->ctx, hs_packet_bytes (packet),
+                                packet->len, &segment))
+    {
+      hs_counter_add (agent->front->malformed, 1);
+      return;
+    }
+  /* What was meant for an agent that had this address before is taken only
+     if the flow is known here.  */
+  step = hs_sidecar_from_entry (agent->sidecar, &segment, &packet->peer,
+                                inner->header.service,
+                                inner->header.ask || !is_ours, now);
+  if (step.action == HS_SIDECAR_REFUSE)
+    step.entry = packet->peer;
+  carry_out (agent, packet, &segment, &step, inner->header.service);
+}
+
+/* Agents have no use for it.  */
+static void
+on_configuration (void *ctx, const uint8_t *bytes, size_t len)
+{
+  (void)ctx;
+  (void)bytes;
+  (void)len;
+}
+
+static void
+on_tick (void *ctx, uint64_t now)
+{
+  struct hs_segment_agent *agent = ctx;
+  struct hs_load_report load;
+
+  hs_sidecar_tick (agent->sidecar, now);
+  hs_sidecar_load (agent->sidecar, &load);
+  hs_counter_set (agent->counts.busy, load.busy);
+  hs_counter_set (agent->counts.flows, load.flows);
+  hs_counter_set (agent->counts.state, load.state);
+  if (load.state != agent->reported)
+    hs_log_write (agent->log, HS_LOG_WARNING, "upstream-state", "{s:i, s:i}",
+                  "state", (int)load.state, "busy", (int)load.busy);
+  if (load.state != agent->reported || now >= agent->report_due)
+    send_reports (agent, now);
+  if (agent->drained_due != 0 && now >= agent->drained_due)
+    {
+      hs_log_write (agent->log, HS_LOG_INFO, "drained", NULL);
+      hs_front_drained (agent->front);
+      agent->drained_due = 0;
+    }
+}
+
+static void
+on_drain (void *ctx, uint64_t now)
+{
+  struct hs_segment_agent *agent = ctx;
+
+  hs_sidecar_leave (agent->sidecar);
+  send_reports (agent, now);
+  agent->drained_due = now + DRAIN_MS;
+}
+
+/* SERVICE is that which the entry named.  */
+static void
+carry_out (struct hs_segment_agent *agent, struct hs_packet *packet,
+           const struct hs_segment *segment,
+           const struct hs_sidecar_step *step, uint64_t service)
+{
+  packet->fd = -1;
+  log_step (agent, segment, step);
+  if (step->held && step->action == HS_SIDECAR_ANSWER)
+    tell_held (agent, hs_segment_key (segment, false), &step->entry);
+  else if (step->held)
+    tell_held (agent, hs_segment_key (segment, true), &step->entry);
+  switch (step->action)
+    {
+    case HS_SIDECAR_DELIVER:
+      packet->peer = agent->settings.upstream;
+      packet->fd = agent->outbound_fd;
+      hs_counter_add (agent->counts.delivered, 1);
+      break;
+    case HS_SIDECAR_ANSWER:
+      hs_front_answer (agent->front, packet, agent->outbound_fd, &segment->to,
+                       agent->settings.caller_at.port);
+      hs_counter_add (agent->counts.answered, 1);
+      break;
+    case HS_SIDECAR_REFUSE:
+      refuse_syn (agent, packet, step, service);
+      break;
+    case HS_SIDECAR_RESET:
+      reset_caller (agent, packet, segment);
+      break;
+    case HS_SIDECAR_DROP:
+      hs_counter_add (agent->counts.dropped, 1);
+      break;
+    }
+}
+
+static void
+refuse_syn (struct hs_segment_agent *agent, struct hs_packet *packet,
+            const struct hs_sidecar_step *step, uint64_t service)
+{
+  struct hs_inner inner = { .type = HS_INNER_REFUSED };
+
+  inner.header.service = service;
+  inner.header.slot = agent->front->slot;
+  inner.header.reason = step->reason;
+  hs_front_wrap (agent->front, packet, &inner, &step->entry);
+  hs_counter_add (agent->counts.refused, 1);
+}
+
+/* SEGMENT is the caller's.  */
+static void
+reset_caller (struct hs_segment_agent *agent, struct hs_packet *packet,
+              const struct hs_segment *segment)
+{
+  const struct hs_dialect *dialect = agent->settings.dialect;
+
+  packet->len = (uint16_t)dialect->encode_reset (dialect->ctx, segment,
+                                                 hs_packet_bytes (packet));
+  hs_front_answer (agent->front, packet, agent->outbound_fd, &segment->from,
+                   agent->settings.caller_at.port);
+  hs_counter_add (agent->counts.resets, 1);
+}
+
+static void
+tell_held (struct hs_segment_agent *agent, struct hs_segment_key key,
+           const struct hs_addr *entry)
+{
+  struct hs_inner inner = { .type = HS_INNER_HELD };
+
+  inner.held.slot = agent->front->slot;
+  inner.held.key = key;
+  hs_front_send (agent->front, entry, &inner);
+  hs_counter_add (agent->counts.held, 1);
+}
+
+static void
+log_step (struct hs_segment_agent *agent, const struct hs_segment *segment,
+          const struct hs_sidecar_step *step)
+{
+  char from[HS_ADDR_TEXT_SIZE];
+  char to[HS_ADDR_TEXT_SIZE];
+  const char *event = step->action == HS_SIDECAR_REFUSE  ? "syn-refused"
+                      : step->action == HS_SIDECAR_RESET ? "flow-reset"
+                      : step->action == HS_SIDECAR_DROP  ? "segment-dropped"
+                      : step->held                       ? "flow-claimed"
+                                                         : "flow-opened";
+
+  if (step->action == HS_SIDECAR_DELIVER && !step->opened && !step->held)
+    return;
+  if (step->action == HS_SIDECAR_ANSWER && !step->held)
+    return;
+  hs_addr_format (&segment->from, from);
+  hs_addr_format (&segment->to, to);
+  hs_log_write (agent->log, HS_LOG_INFO, event, "{s:s, s:s, s:s, s:i}", "from",
+                from, "to", to, "reason", hs_reason_name (step->reason),
+                "state", (int)agent->reported);
+}
+
+static void
+send_reports (struct hs_segment_agent *agent, uint64_t now)
+{
+  const struct hs_inner_addrs *entries
+      = hs_follower_entries (agent->front->follower);
+  struct hs_inner inner = { .type = HS_INNER_REPORT };
+
+  agent->report_due = now + HS_REPORT_MS;
+  hs_sidecar_load (agent->sidecar, &inner.report);
+  inner.report.slot = agent->front->slot;
+  inner.report.incarnation = agent->front->incarnation;
+  inner.report.seq = ++agent->report_seq;
+  inner.report.address = agent->settings.inner;
+  g_strlcpy (inner.report.zone, agent->settings.zone, HS_NAME_SIZE);
+  agent->reported = inner.report.state;
+  for (size_t i = 0; i < entries->len; i++)
+    hs_front_send (agent->front, &entries->values[i], &inner);
+}
--- a/src/base/duty.c
+++ b/src/base/duty.c
@@ -5,6 +5,7 @@
 #include <pthread.h>
 #include <stdatomic.h>
 #include <sys/eventfd.h>
+#include <sys/timerfd.h>
 #include <talloc.h>
 #include <time.h>
 #include <unistd.h>
@@ -22,6 +23,9 @@
   int stop_fd;
   bool stopping;
   struct hs_timers *timers;
+  int timer_fd;       /* Of the steady clock; tevent's own timers follow the
+                         wall clock, which may be set back.  */
+  uint64_t armed_due; /* ms; when it fires; UINT64_MAX: not armed.  */
   hs_duty_fn *after_fn;
   void *after_ctx;
 };
@@ -42,10 +46,10 @@
                      uint16_t flags, void *ctx);
 static void on_ring (struct tevent_context *events, struct tevent_fd *fde,
                      uint16_t flags, void *ctx);
-static void on_timer (struct tevent_context *events,
-                      struct tevent_timer *timer, struct timeval now,
-                      void *ctx);
-static void arm_timer (struct hs_duty *duty, uint64_t delay_ms);
+static void on_timer (struct tevent_context *events, struct tevent_fd *fde,
+                      uint16_t flags, void *ctx);
+static void after_run (struct hs_duty *duty);
+static void arm_timer (struct hs_duty *duty);
 static uint64_t clock_ms (clockid_t clock);
 
 /* Public definitions.  */
@@ -58,6 +62,7 @@
   g_strlcpy (duty->name, name, sizeof duty->name);
   duty->events = tevent_context_init (duty);
   duty->stop_fd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
+  duty->timer_fd = -1;
   tevent_add_fd (duty->events, duty, duty->stop_fd, TEVENT_FD_READ, on_stop,
                  duty);
   talloc_set_destructor (duty, destructor);
@@ -101,7 +106,12 @@
 hs_duty_drive_timers (struct hs_duty *duty, struct hs_timers *timers)
 {
   duty->timers = timers;
-  arm_timer (duty, 0);
+  duty->timer_fd
+      = timerfd_create (CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+  duty->armed_due = UINT64_MAX;
+  tevent_add_fd (duty->events, duty, duty->timer_fd, TEVENT_FD_READ, on_timer,
+                 duty);
+  arm_timer (duty);
 }
 
 void
@@ -136,6 +146,8 @@
 destructor (struct hs_duty *duty)
 {
   close (duty->stop_fd);
+  if (duty->timer_fd >= 0)
+    close (duty->timer_fd);
   return 0;
 }
 
@@ -181,39 +193,50 @@
         watch->fn (watch->ctx, items[i]);
     }
   while (len == ITEMS_A_RUN);
-  if (watch->duty->after_fn != NULL)
-    watch->duty->after_fn (watch->duty->after_ctx);
+  after_run (watch->duty);
 }
 
 static void
-on_timer (struct tevent_context *events, struct tevent_timer *timer,
-          struct timeval now, void *ctx)
+on_timer (struct tevent_context *events, struct tevent_fd *fde, uint16_t flags,
+          void *ctx)
 {
   struct hs_duty *duty = ctx;
-  uint64_t delay_ms;
+  uint64_t expirations;
 
   (void)events;
-  (void)timer;
-  (void)now;
-  delay_ms = hs_timers_advance (duty->timers, hs_clock_now ());
-  arm_timer (duty, delay_ms);
+  (void)fde;
+  (void)flags;
+  if (read (duty->timer_fd, &expirations, sizeof expirations) < 0)
+    return;
+  duty->armed_due = UINT64_MAX;
+  hs_timers_advance (duty->timers, hs_clock_now ());
+  after_run (duty);
+}
+
+static void
+after_run (struct hs_duty *duty)
+{
   if (duty->after_fn != NULL)
     duty->after_fn (duty->after_ctx);
+  if (duty->timers != NULL)
+    arm_timer (duty);
 }
 
-/* A timer that a handler starts may be due before the one that is armed, so
-   the loop looks again after this long at the latest.  */
-#define TIMER_DELAY_MAX_MS 20
-
+/* An earlier expiry than needed is kept: it costs less than setting it. */
 static void
-arm_timer (struct hs_duty *duty, uint64_t delay_ms)
-{
-  if (delay_ms > TIMER_DELAY_MAX_MS)
-    delay_ms = TIMER_DELAY_MAX_MS;
-  tevent_add_timer (duty->events, duty,
-                    tevent_timeval_current_ofs (
-                        0, (uint32_t)(delay_ms * G_TIME_SPAN_MILLISECOND)),
-                    on_timer, duty);
+arm_timer (struct hs_duty *duty)
+{
+  uint64_t due = hs_timers_due (duty->timers);
+  struct itimerspec spec = { 0 };
+
+  if (due >= duty->armed_due)
+    return;
+  if (due == 0)
+    due = 1; /* Zero would disarm it.  */
+  spec.it_value.tv_sec = (time_t)(due / 1000);
+  spec.it_value.tv_nsec = (long)(due % 1000) * 1000000;
+  timerfd_settime (duty->timer_fd, TFD_TIMER_ABSTIME, &spec, NULL);
+  duty->armed_due = due;
 }
 
 static uint64_t
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -26,4 +26,8 @@
                    const char *event, const char *format, ...);
 uint64_t hs_log_dropped (struct hs_log *log); /* Lines.  */
 
+/* At most that many lines a second, and as many again of errors; the others
+   are dropped and counted.  0: no bound.  */
+void hs_log_set_rate (struct hs_log *log, uint64_t lines_per_s);
+
 #endif /* HS_BASE_LOG_H */
--- a/src/base/timer.c
+++ b/src/base/timer.c
@@ -16,6 +16,7 @@
 {
   uint64_t now;  /* ms  */
   uint64_t tick; /* The next one to run.  */
+  uint64_t due;  /* ms; no timer is due before.  */
   struct hs_list slots[SLOTS];
 };
 
@@ -34,6 +35,7 @@
 
   timers->now = now;
   timers->tick = tick_of (now);
+  timers->due = UINT64_MAX;
   for (size_t i = 0; i < SLOTS; i++)
     hs_list_init (&timers->slots[i]);
   return timers;
@@ -64,6 +66,8 @@
   hs_list_remove (&timer->link);
   timer->due = due;
   hs_list_append (&timers->slots[tick & (SLOTS - 1)], &timer->link);
+  if (tick * TICK_MS < timers->due)
+    timers->due = tick * TICK_MS;
 }
 
 void
@@ -89,7 +93,14 @@
 
       run_slot (timers, tick, now);
     }
-  return until_next (timers, now);
+  timers->due = now + until_next (timers, now);
+  return timers->due - now;
+}
+
+uint64_t
+hs_timers_due (const struct hs_timers *timers)
+{
+  return timers->due;
 }
 
 /* Private definitions.  */
--- a/src/consensus/journal.c
+++ b/src/consensus/journal.c
@@ -21,9 +21,11 @@
 #define HEADER_SIZE (HEADER_WORDS * sizeof (uint32_t))
 #define HEADER_COVERED (2 * sizeof (uint32_t)) /* By its own CRC.  */
 #define FILE_NAME "journal"
+#define NEW_SUFFIX ".new"
 
 struct hs_journal
 {
+  char *folder;
   char *path;
   int fd;
   off_t end;   /* Of the last whole record.  */
@@ -58,6 +60,8 @@
 static uint8_t *read_file (struct hs_journal *journal, size_t *len,
                            GError **error);
 static bool write_all (int fd, const uint8_t *data, size_t len);
+static uint8_t *frame_items (const struct hs_journal_item *items, size_t len,
+                             size_t *bytes_len);
 static bool fail (const struct hs_journal *journal, const char *what,
                   GError **error);
 
@@ -71,6 +75,7 @@
 
   journal->fd = -1;
   talloc_set_destructor (journal, destructor);
+  journal->folder = talloc_strdup (journal, folder);
   journal->path = talloc_asprintf (journal, "%s/%s", folder, FILE_NAME);
   if (open_file (journal, folder, error) && replay (journal, fn, ctx, error))
     return journal;
@@ -88,34 +93,71 @@
 hs_journal_append (struct hs_journal *journal, const uint8_t *data, size_t len,
                    GError **error)
 {
-  HS_AUTO_TALLOC uint8_t *bytes
-      = talloc_array (NULL, uint8_t, HEADER_SIZE + len);
-  uint32_t header[HEADER_WORDS];
+  struct hs_journal_item item = { data, len };
+
+  return hs_journal_append_all (journal, &item, 1, error);
+}
+
+bool
+hs_journal_append_all (struct hs_journal *journal,
+                       const struct hs_journal_item *items, size_t len,
+                       GError **error)
+{
+  size_t bytes_len;
+  HS_AUTO_TALLOC uint8_t *bytes = frame_items (items, len, &bytes_len);
 
   if (journal->broken)
     {
       errno = EIO;
       return fail (journal, "append after a failed sync", error);
     }
-  header[0] = htole32 ((uint32_t)len);
-  header[1] = htole32 ((uint32_t)crc32 (0, data, (uInt)len));
-  header[2]
-      = htole32 ((uint32_t)crc32 (0, (const Bytef *)header, HEADER_COVERED));
-  memcpy (bytes, header, HEADER_SIZE);
-  memcpy (bytes + HEADER_SIZE, data, len);
-  if (write_all (journal->fd, bytes, HEADER_SIZE + len))
+  if (write_all (journal->fd, bytes, bytes_len))
     {
-      journal->end += (off_t)(HEADER_SIZE + len);
+      journal->end += (off_t)bytes_len;
       return true;
     }
   fail (journal, "append", error);
-  /* What was written of the record must not stay in front of the next.  */
+  /* What was written of the records must not stay in front of the next.  */
   if (ftruncate (journal->fd, journal->end) != 0
       || lseek (journal->fd, journal->end, SEEK_SET) < 0)
     journal->broken = true;
   return false;
 }
 
+bool
+hs_journal_replace (struct hs_journal *journal,
+                    const struct hs_journal_item *items, size_t len,
+                    GError **error)
+{
+  HS_AUTO_TALLOC char *path
+      = talloc_asprintf (NULL, "%s%s", journal->path, NEW_SUFFIX);
+  size_t bytes_len;
+  HS_AUTO_TALLOC uint8_t *bytes = frame_items (items, len, &bytes_len);
+  int fd = open (path, O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+
+  if (fd < 0)
+    return fail (journal, "write anew", error);
+  if (!write_all (fd, bytes, bytes_len) || fsync (fd) != 0
+      || rename (path, journal->path) != 0)
+    {
+      fail (journal, "write anew", error);
+      close (fd);
+      return false;
+    }
+  close (journal->fd);
+  journal->fd = fd;
+  journal->end = (off_t)bytes_len;
+  /* Until the name is on disk, appends might go to a file that is lost.  */
+  journal->broken = !sync_folder (journal->folder, error);
+  return !journal->broken;
+}
+
+size_t
+hs_journal_size (const struct hs_journal *journal)
+{
+  return (size_t)journal->end;
+}
+
 bool
 hs_journal_sync (struct hs_journal *journal, GError **error)
 {
@@ -278,6 +320,35 @@
   return true;
 }
 
+/* ITEMS as they stand in the file.  */
+static uint8_t *
+frame_items (const struct hs_journal_item *items, size_t len,
+             size_t *bytes_len)
+{
+  uint8_t *bytes;
+  uint8_t *end;
+
+  *bytes_len = 0;
+  for (size_t i = 0; i < len; i++)
+    *bytes_len += HEADER_SIZE + items[i].len;
+  bytes = talloc_array (NULL, uint8_t, *bytes_len);
+  end = bytes;
+  for (size_t i = 0; i < len; i++)
+    {
+      uint32_t header[HEADER_WORDS];
+
+      header[0] = htole32 ((uint32_t)items[i].len);
+      header[1]
+          = htole32 ((uint32_t)crc32 (0, items[i].data, (uInt)items[i].len));
+      header[2] = htole32 (
+          (uint32_t)crc32 (0, (const Bytef *)header, HEADER_COVERED));
+      memcpy (end, header, HEADER_SIZE);
+      memcpy (end + HEADER_SIZE, items[i].data, items[i].len);
+      end += HEADER_SIZE + items[i].len;
+    }
+  return bytes;
+}
+
 static bool
 fail (const struct hs_journal *journal, const char *what, GError **error)
 {
--- a/src/consensus/journal.h
+++ b/src/consensus/journal.h
@@ -27,6 +27,24 @@
 bool hs_journal_append (struct hs_journal *journal, const uint8_t *data,
                         size_t len, GError **error);
 
+/* Records of which all or none count, if they are synced together.  */
+struct hs_journal_item
+{
+  const uint8_t *data;
+  size_t len;
+};
+
+bool hs_journal_append_all (struct hs_journal *journal,
+                            const struct hs_journal_item *items, size_t len,
+                            GError **error); /* As hs_journal_append.  */
+
+/* Puts ITEMS in place of all records, synced; the journal works again after
+   a failure.  On HS_ERROR_SYSTEM the old records stay.  */
+bool hs_journal_replace (struct hs_journal *journal,
+                         const struct hs_journal_item *items, size_t len,
+                         GError **error);
+size_t hs_journal_size (const struct hs_journal *journal); /* Bytes.  */
+
 /* After HS_ERROR_SYSTEM what is on disk is unknown: the journal takes no
    more records.  */
 bool hs_journal_sync (struct hs_journal *journal, GError **error);
--- /dev/null
+++ b/src/consensus/replica_lead.c
@@ -0,0 +1,482 @@
+/* replica_lead.c -- what a replica does while it leads.  */
+
+#include "consensus/replica_state.h"
+
+#include <talloc.h>
+
+/* Types.  */
+
+/* Bytes of entries in a message, so that it fits a datagram.  */
+#define APPEND_BYTES_MAX HS_COMMAND_SIZE_MAX
+
+/* Entries by which a host that joins may still be behind.  */
+#define CAUGHT_UP 8
+
+/* Private functions.  */
+
+static uint64_t append_entry (struct hs_replica *replica,
+                              const struct hs_log_entry *entry, uint64_t now);
+static void send_to_all (struct hs_replica *replica, uint64_t now);
+static void send_to (struct hs_replica *replica, struct peer *peer,
+                     uint64_t now);
+static void add_entries (const struct hs_replica *replica,
+                         struct hs_replica_message *append, uint64_t index);
+static void sync_peers (struct hs_replica *replica, uint64_t now);
+static struct peer *find_peer (const struct hs_replica *replica, uint64_t id);
+static struct peer *add_peer (struct hs_replica *replica,
+                              const struct hs_control_host *host,
+                              uint64_t now);
+static bool hears_majority (const struct hs_replica *replica, uint64_t now);
+static void change_group (struct hs_replica *replica, uint64_t now);
+static const struct hs_control_host *
+who_gives_way (const struct hs_replica *replica, const struct peer *to,
+               uint64_t now);
+static void propose_without (struct hs_replica *replica, uint64_t id,
+                             uint64_t now);
+static void propose_with (struct hs_replica *replica,
+                          const struct hs_control_host *host, uint64_t now);
+static bool group_is_committed (const struct hs_replica *replica);
+
+/* Public definitions.  */
+
+uint64_t
+hs_replica_propose (struct hs_replica *replica, const uint8_t *data,
+                    size_t len, uint64_t now)
+{
+  struct hs_log_entry entry
+      = { .kind = HS_LOG_COMMAND, .len = len, .data = (uint8_t *)data };
+
+  if (replica->role != ROLE_LEADER || len > HS_COMMAND_SIZE_MAX)
+    return 0;
+  return append_entry (replica, &entry, now);
+}
+
+uint64_t
+hs_replica_read (struct hs_replica *replica, uint64_t now)
+{
+  if (replica->role != ROLE_LEADER)
+    return 0;
+  replica->round++;
+  send_to_all (replica, now);
+  return replica->round;
+}
+
+uint64_t
+hs_replica_confirmed (const struct hs_replica *replica)
+{
+  uint64_t best = 0;
+
+  if (replica->role != ROLE_LEADER || replica->commit < replica->first)
+    return 0;
+  if (replica->members.len == 1)
+    return replica->round;
+  /* The highest round that a majority, with this host, has answered.  */
+  HS_LIST_FOREACH (link, &replica->peers)
+    {
+      uint64_t round = HS_LIST_ENTRY (link, struct peer, link)->round;
+      size_t answered = 1;
+
+      HS_LIST_FOREACH (other, &replica->peers)
+        {
+          const struct peer *peer = HS_LIST_ENTRY (other, struct peer, link);
+
+          answered += hs_replica_is_member (replica, peer->host.id)
+                      && peer->round >= round;
+        }
+      if (answered >= hs_replica_majority (replica) && round > best)
+        best = round;
+    }
+  return best;
+}
+
+void
+hs_replica_hand_over (struct hs_replica *replica, uint64_t now)
+{
+  struct hs_replica_message take_over = { .type = HS_REPLICA_TAKE_OVER };
+  const struct peer *best = NULL;
+
+  (void)now;
+  if (replica->role != ROLE_LEADER)
+    return;
+  HS_LIST_FOREACH (link, &replica->peers)
+    {
+      const struct peer *peer = HS_LIST_ENTRY (link, struct peer, link);
+
+      if (hs_replica_is_member (replica, peer->host.id)
+          && (best == NULL || peer->match > best->match))
+        best = peer;
+    }
+  if (best == NULL)
+    return;
+  take_over.to = best->host.id;
+  hs_replica_send (replica, &best->host.inner, &take_over);
+}
+
+size_t
+hs_replica_hosts (const struct hs_replica *replica,
+                  struct hs_control_host *hosts, size_t max)
+{
+  size_t len = 0;
+
+  for (size_t i = 0; i < replica->members.len && len < max; i++)
+    hosts[len++] = replica->members.hosts[i];
+  if (replica->role != ROLE_LEADER)
+    return len;
+  HS_LIST_FOREACH (link, &replica->peers)
+    {
+      const struct peer *peer = HS_LIST_ENTRY (link, struct peer, link);
+
+      if (!hs_replica_is_member (replica, peer->host.id) && len < max)
+        hosts[len++] = peer->host;
+    }
+  return len;
+}
+
+/* For the files of this package.  */
+
+void
+hs_replica_become_leader (struct hs_replica *replica, uint64_t now)
+{
+  struct hs_log_entry noop = { .kind = HS_LOG_NOOP };
+
+  replica->role = ROLE_LEADER;
+  replica->leader = replica->self;
+  replica->heartbeat_due = now;
+  HS_LIST_FOREACH (link, &replica->peers)
+    {
+      hs_list_remove (link);
+      talloc_free (HS_LIST_ENTRY (link, struct peer, link));
+    }
+  sync_peers (replica, now);
+  replica->first = append_entry (replica, &noop, now);
+  replica->ops.changed (replica->ctx);
+}
+
+void
+hs_replica_lead (struct hs_replica *replica, uint64_t now)
+{
+  if (!hears_majority (replica, now))
+    {
+      hs_replica_step_down (replica, replica->term);
+      return;
+    }
+  if (now >= replica->heartbeat_due)
+    {
+      /* What was not answered since the last heartbeat is sent again.  */
+      HS_LIST_FOREACH (link, &replica->peers)
+        {
+          struct peer *peer = HS_LIST_ENTRY (link, struct peer, link);
+
+          if (now - peer->sent_at >= HEARTBEAT_MS)
+            peer->next = peer->match + 1;
+        }
+      send_to_all (replica, now);
+    }
+  change_group (replica, now);
+}
+
+void
+hs_replica_advance_commit (struct hs_replica *replica, uint64_t now)
+{
+  uint64_t best = replica->commit;
+
+  /* Only an entry of the leader's own term is committed by counting.  */
+  for (uint64_t index = hs_replica_last (replica);
+       index > replica->commit && index >= replica->first; index--)
+    {
+      size_t count = replica->durable >= index
+                     && hs_replica_is_member (replica, replica->self.id);
+
+      HS_LIST_FOREACH (link, &replica->peers)
+        {
+          const struct peer *peer = HS_LIST_ENTRY (link, struct peer, link);
+
+          count += hs_replica_is_member (replica, peer->host.id)
+                   && peer->match >= index;
+        }
+      if (count < hs_replica_majority (replica))
+        continue;
+      best = index;
+      break;
+    }
+  if (best == replica->commit)
+    return;
+  hs_replica_log_commit (replica, best);
+  send_to_all (replica, now);
+}
+
+void
+hs_replica_on_appended (struct hs_replica *replica,
+                        const struct hs_replica_message *message, uint64_t now)
+{
+  struct peer *peer;
+
+  if (message->term > replica->term)
+    {
+      hs_replica_step_down (replica, message->term);
+      return;
+    }
+  peer = find_peer (replica, message->from.id);
+  if (replica->role != ROLE_LEADER || message->term != replica->term
+      || peer == NULL)
+    return;
+  peer->heard_at = now;
+  if (message->round > peer->round)
+    peer->round = message->round;
+  if (!message->granted)
+    {
+      peer->next = message->index + 1;
+      send_to (replica, peer, now);
+      return;
+    }
+  if (message->index > peer->match)
+    peer->match = message->index;
+  if (peer->next <= peer->match)
+    peer->next = peer->match + 1;
+  hs_replica_advance_commit (replica, now);
+  if (peer->next <= hs_replica_last (replica))
+    send_to (replica, peer, now);
+}
+
+/* A host outside the group follows the log first.  */
+void
+hs_replica_on_join (struct hs_replica *replica,
+                    const struct hs_replica_message *message, uint64_t now)
+{
+  struct hs_replica_message copy = *message;
+
+  if (replica->role == ROLE_LEADER)
+    {
+      if (find_peer (replica, message->from.id) == NULL)
+        send_to (replica, add_peer (replica, &message->from, now), now);
+    }
+  else if (replica->leader.id != 0 && message->to == 0)
+    {
+      copy.to = replica->leader.id;
+      replica->ops.send (replica->ctx, &replica->leader.inner, &copy);
+    }
+}
+
+/* Private definitions.  */
+
+static uint64_t
+append_entry (struct hs_replica *replica, const struct hs_log_entry *entry,
+              uint64_t now)
+{
+  struct hs_log_entry copy = *entry;
+  struct hs_replica_record record
+      = { .type = HS_REPLICA_RECORD_ENTRY, .entry = &copy };
+
+  copy.index = hs_replica_last (replica) + 1;
+  copy.term = replica->term;
+  hs_replica_log_append (replica, &copy);
+  replica->ops.write (replica->ctx, &record);
+  hs_replica_sync (replica);
+  if (copy.kind == HS_LOG_MEMBERS)
+    {
+      replica->members = copy.members;
+      sync_peers (replica, now);
+    }
+  send_to_all (replica, now);
+  return copy.index;
+}
+
+static void
+send_to_all (struct hs_replica *replica, uint64_t now)
+{
+  replica->heartbeat_due = now + HEARTBEAT_MS;
+  HS_LIST_FOREACH (link, &replica->peers)
+    send_to (replica, HS_LIST_ENTRY (link, struct peer, link), now);
+}
+
+static void
+send_to (struct hs_replica *replica, struct peer *peer, uint64_t now)
+{
+  struct hs_replica_message message = { .type = HS_REPLICA_APPEND,
+                                        .to = peer->host.id,
+                                        .commit = replica->commit,
+                                        .round = replica->round };
+
+  peer->sent_at = now;
+  if (peer->next <= replica->base.index)
+    {
+      message.type = HS_REPLICA_BASE;
+      message.base = &replica->base;
+      peer->next = replica->base.index + 1;
+      hs_replica_send (replica, &peer->host.inner, &message);
+      return;
+    }
+  message.index = peer->next - 1;
+  message.log_term = hs_replica_log_term (replica, message.index);
+  add_entries (replica, &message, peer->next);
+  peer->next += message.entries_len;
+  hs_replica_send (replica, &peer->host.inner, &message);
+}
+
+static void
+add_entries (const struct hs_replica *replica,
+             struct hs_replica_message *append, uint64_t index)
+{
+  const struct hs_log_entry *entry = hs_replica_log_find (replica, index);
+  size_t bytes = 0;
+
+  while (
+      entry != NULL && append->entries_len < HS_APPEND_MAX
+      && (append->entries_len == 0 || bytes + entry->len <= APPEND_BYTES_MAX))
+    {
+      bytes += entry->len;
+      append->entries[append->entries_len++] = entry;
+      entry = entry->link.next != &replica->log
+                  ? HS_LIST_ENTRY (entry->link.next, struct hs_log_entry, link)
+                  : NULL;
+    }
+}
+
+/* A peer for each other member; those that follow stay.  */
+static void
+sync_peers (struct hs_replica *replica, uint64_t now)
+{
+  for (size_t i = 0; i < replica->members.len; i++)
+    {
+      const struct hs_control_host *host = &replica->members.hosts[i];
+
+      if (host->id != replica->self.id
+          && find_peer (replica, host->id) == NULL)
+        add_peer (replica, host, now);
+    }
+}
+
+static struct peer *
+find_peer (const struct hs_replica *replica, uint64_t id)
+{
+  HS_LIST_FOREACH (link, &replica->peers)
+    {
+      struct peer *peer = HS_LIST_ENTRY (link, struct peer, link);
+
+      if (peer->host.id == id)
+        return peer;
+    }
+  return NULL;
+}
+
+static struct peer *
+add_peer (struct hs_replica *replica, const struct hs_control_host *host,
+          uint64_t now)
+{
+  struct peer *peer = talloc_zero (replica, struct peer);
+
+  peer->host = *host;
+  peer->next = hs_replica_last (replica) + 1;
+  peer->heard_at = now;
+  hs_list_append (&replica->peers, &peer->link);
+  return peer;
+}
+
+static bool
+hears_majority (const struct hs_replica *replica, uint64_t now)
+{
+  size_t heard = hs_replica_is_member (replica, replica->self.id);
+
+  HS_LIST_FOREACH (link, &replica->peers)
+    {
+      const struct peer *peer = HS_LIST_ENTRY (link, struct peer, link);
+
+      heard += hs_replica_is_member (replica, peer->host.id)
+               && now - peer->heard_at <= QUORUM_MS;
+    }
+  return heard >= hs_replica_majority (replica);
+}
+
+/* One host at a time, and only once the group before is committed and an
+   entry of this term is.  */
+static void
+change_group (struct hs_replica *replica, uint64_t now)
+{
+  if (replica->commit < replica->first || !group_is_committed (replica))
+    return;
+  HS_LIST_FOREACH (link, &replica->peers)
+    {
+      struct peer *peer = HS_LIST_ENTRY (link, struct peer, link);
+      const struct hs_control_host *gives_way;
+
+      if (hs_replica_is_member (replica, peer->host.id))
+        continue;
+      if (now - peer->heard_at > REPLACE_MS)
+        {
+          hs_list_remove (link);
+          talloc_free (peer);
+          continue;
+        }
+      if (peer->match + CAUGHT_UP < replica->commit || peer->match == 0)
+        continue;
+      gives_way = who_gives_way (replica, peer, now);
+      if (gives_way != NULL)
+        {
+          propose_without (replica, gives_way->id, now);
+          return;
+        }
+      if (replica->members.len < GROUP_TARGET)
+        {
+          propose_with (replica, &peer->host, now);
+          return;
+        }
+    }
+}
+
+/* The member that has the same address has lost its disk.  Another one is
+   replaced when the group is full and it has long been silent.  */
+static const struct hs_control_host *
+who_gives_way (const struct hs_replica *replica, const struct peer *to,
+               uint64_t now)
+{
+  for (size_t i = 0; i < replica->members.len; i++)
+    {
+      const struct hs_control_host *host = &replica->members.hosts[i];
+      const struct peer *peer = find_peer (replica, host->id);
+
+      if (peer == NULL)
+        continue;
+      if (hs_addr_equal (&host->inner, &to->host.inner))
+        return host;
+      if (replica->members.len >= GROUP_TARGET
+          && now - peer->heard_at > REPLACE_MS)
+        return host;
+    }
+  return NULL;
+}
+
+static void
+propose_without (struct hs_replica *replica, uint64_t id, uint64_t now)
+{
+  struct hs_log_entry entry = { .kind = HS_LOG_MEMBERS };
+
+  for (size_t i = 0; i < replica->members.len; i++)
+    if (replica->members.hosts[i].id != id)
+      entry.members.hosts[entry.members.len++] = replica->members.hosts[i];
+  append_entry (replica, &entry, now);
+}
+
+static void
+propose_with (struct hs_replica *replica, const struct hs_control_host *host,
+              uint64_t now)
+{
+  struct hs_log_entry entry
+      = { .kind = HS_LOG_MEMBERS, .members = replica->members };
+
+  entry.members.hosts[entry.members.len++] = *host;
+  append_entry (replica, &entry, now);
+}
+
+static bool
+group_is_committed (const struct hs_replica *replica)
+{
+  for (uint64_t index = hs_replica_last (replica); index > replica->commit;
+       index--)
+    {
+      const struct hs_log_entry *entry = hs_replica_log_find (replica, index);
+
+      if (entry != NULL && entry->kind == HS_LOG_MEMBERS)
+        return false;
+    }
+  return true;
+}
--- a/src/daemon/admin.c
+++ b/src/daemon/admin.c
@@ -62,6 +62,12 @@
   atomic_store (&admin->unhealthy, reason);
 }
 
+const char *
+hs_admin_unhealthy (struct hs_admin *admin)
+{
+  return atomic_load (&admin->unhealthy);
+}
+
 bool
 hs_admin_handle (struct hs_admin *admin, struct hs_http_request *request)
 {
--- a/src/daemon/admin.h
+++ b/src/daemon/admin.h
@@ -19,6 +19,9 @@
    is a literal; NULL: healthy.  A new admin is unhealthy, "starting".  */
 void hs_admin_set_unhealthy (struct hs_admin *admin, const char *reason);
 
+const char *hs_admin_unhealthy (struct hs_admin *admin); /* NULL: it is not;
+                                                            any thread.  */
+
 /* Answers REQUEST if it asks for /healthz or /metrics.  */
 bool hs_admin_handle (struct hs_admin *admin, struct hs_http_request *request);
 
--- /dev/null
+++ b/src/daemon/datagrams.c
@@ -0,0 +1,176 @@
+/* datagrams.c -- datagrams of any size.  */
+
+#include "daemon/datagrams.h"
+#include "base/addr.h"
+#include "base/duty.h"
+#include "daemon/receiver.h"
+
+#include <string.h>
+#include <talloc.h>
+#include <unistd.h>
+
+/* Types.  */
+
+#define SIZE_MAX_BYTES 65536 /* Of a datagram.  */
+#define QUEUED 1024
+
+struct hs_datagrams
+{
+  int fd;
+  struct hs_duty *receive;
+  struct hs_duty *send;
+  struct hs_ring *in;
+  struct hs_ring *out;
+  struct hs_counter *received;
+  struct hs_counter *sent;
+  struct hs_counter *dropped;
+  uint8_t buffer[SIZE_MAX_BYTES]; /* Of the receiving thread.  */
+};
+
+/* Private functions.  */
+
+static void on_readable (struct tevent_context *events, struct tevent_fd *fde,
+                         uint16_t flags, void *ctx);
+static void on_datagram (void *ctx, void *item);
+static void release_all (struct hs_ring *ring);
+
+/* Public definitions.  */
+
+struct hs_datagrams *
+hs_datagrams_create (const struct hs_addr *address, struct hs_ring *in,
+                     struct hs_counters *counters, GError **error)
+{
+  int fd = hs_socket_bind (address, error);
+  struct hs_datagrams *datagrams;
+
+  if (fd < 0)
+    return NULL;
+  datagrams = talloc_zero (NULL, struct hs_datagrams);
+  datagrams->fd = fd;
+  datagrams->in = in;
+  datagrams->out = hs_ring_create (datagrams, QUEUED);
+  datagrams->receive = hs_duty_create ("receive");
+  datagrams->send = hs_duty_create ("send");
+  datagrams->received = hs_counter_create (
+      counters, "datagrams_received_total", "Datagrams received.");
+  datagrams->sent = hs_counter_create (counters, "datagrams_sent_total",
+                                       "Datagrams given to the kernel.");
+  datagrams->dropped
+      = hs_counter_create (counters, "datagrams_dropped_total",
+                           "Datagrams dropped for want of room.");
+  tevent_add_fd (hs_duty_events (datagrams->receive), datagrams->receive, fd,
+                 TEVENT_FD_READ, on_readable, datagrams);
+  hs_duty_watch_ring (datagrams->send, datagrams->out, on_datagram, datagrams);
+  return datagrams;
+}
+
+void
+hs_datagrams_destroy (struct hs_datagrams *datagrams)
+{
+  hs_duty_destroy (datagrams->receive);
+  hs_duty_destroy (datagrams->send);
+  release_all (datagrams->out);
+  close (datagrams->fd);
+  talloc_free (datagrams);
+}
+
+void
+hs_datagrams_start (struct hs_datagrams *datagrams)
+{
+  hs_duty_start (datagrams->send);
+  hs_duty_start (datagrams->receive);
+}
+
+void
+hs_datagrams_stop (struct hs_datagrams *datagrams)
+{
+  void *item;
+
+  hs_duty_stop (datagrams->receive);
+  hs_duty_stop (datagrams->send);
+  while ((item = hs_ring_pop (datagrams->out)) != NULL)
+    on_datagram (datagrams, item);
+}
+
+struct hs_datagram *
+hs_datagram_create (const struct hs_addr *peer, const uint8_t *data,
+                    size_t len)
+{
+  struct hs_datagram *datagram
+      = talloc_size (NULL, sizeof (struct hs_datagram) + len);
+
+  datagram->peer = *peer;
+  datagram->len = len;
+  memcpy (datagram->data, data, len);
+  return datagram;
+}
+
+void
+hs_datagrams_send (struct hs_datagrams *datagrams,
+                   struct hs_datagram *datagram)
+{
+  if (hs_ring_push (datagrams->out, datagram))
+    return;
+  hs_counter_add (datagrams->dropped, 1);
+  talloc_free (datagram);
+}
+
+/* Private definitions.  */
+
+static void
+on_readable (struct tevent_context *events, struct tevent_fd *fde,
+             uint16_t flags, void *ctx)
+{
+  struct hs_datagrams *datagrams = ctx;
+  struct sockaddr_storage name;
+  struct hs_addr peer;
+  ssize_t len;
+
+  (void)events;
+  (void)fde;
+  (void)flags;
+  for (;;)
+    {
+      socklen_t name_len = sizeof name;
+      struct hs_datagram *datagram;
+
+      len = recvfrom (datagrams->fd, datagrams->buffer, SIZE_MAX_BYTES,
+                      MSG_DONTWAIT, (struct sockaddr *)&name, &name_len);
+      if (len < 0)
+        return;
+      if (!hs_addr_from_sockaddr (&name, &peer))
+        continue;
+      hs_counter_add (datagrams->received, 1);
+      datagram = hs_datagram_create (&peer, datagrams->buffer, (size_t)len);
+      if (hs_ring_push (datagrams->in, datagram))
+        continue;
+      hs_counter_add (datagrams->dropped, 1);
+      talloc_free (datagram);
+    }
+}
+
+static void
+on_datagram (void *ctx, void *item)
+{
+  struct hs_datagrams *datagrams = ctx;
+  struct hs_datagram *datagram = item;
+  struct sockaddr_storage name;
+  socklen_t name_len = hs_addr_to_sockaddr (&datagram->peer, &name);
+
+  if (sendto (datagrams->fd, datagram->data, datagram->len, MSG_DONTWAIT,
+              (struct sockaddr *)&name, name_len)
+      >= 0)
+    hs_counter_add (datagrams->sent, 1);
+  else
+    hs_counter_add (datagrams->dropped, 1);
+  talloc_free (datagram);
+}
+
+static void
+release_all (struct hs_ring *ring)
+{
+  void *item;
+
+  while ((item = hs_ring_pop (ring)) != NULL)
+    talloc_free (item);
+}
--- a/src/daemon/datapath.c
+++ b/src/daemon/datapath.c
@@ -45,12 +45,18 @@
 }
 
 void
-hs_datapath_destroy (struct hs_datapath *path)
+hs_datapath_stop (struct hs_datapath *path)
 {
   hs_receiver_stop (path->receiver);
   hs_duty_stop (path->decide);
   hs_sender_stop (path->sender);
-  hs_link_stop (path->link);
+  if (path->link != NULL)
+    hs_link_stop (path->link);
+}
+
+void
+hs_datapath_destroy (struct hs_datapath *path)
+{
   release (path);
 }
 
@@ -58,7 +64,8 @@
 hs_datapath_start (struct hs_datapath *path)
 {
   hs_sender_start (path->sender);
-  hs_link_start (path->link);
+  if (path->link != NULL)
+    hs_link_start (path->link);
   hs_duty_start (path->decide);
   hs_receiver_start (path->receiver);
 }
@@ -86,12 +93,15 @@
   path->inner_fd = hs_socket_bind (&settings->inner, error);
   if (path->inner_fd < 0)
     return false;
-  path->admin = hs_admin_create (&settings->admin, path->counters, error);
+  path->admin = settings->admin.port != 0
+                    ? hs_admin_create (&settings->admin, path->counters, error)
+                    : hs_admin_create_within (path->counters);
   if (path->admin == NULL)
     return false;
-  path->link = hs_link_connect (&settings->control, path->messages,
-                                path->counters, error);
-  if (path->link == NULL)
+  if (settings->control.port != 0)
+    path->link = hs_link_connect (&settings->control, path->messages,
+                                  path->counters, error);
+  if (settings->control.port != 0 && path->link == NULL)
     return false;
   path->sender = hs_sender_create (path->sending, path->counters);
   path->receiver = hs_receiver_create (path->pool, path->received,
--- a/src/daemon/datapath.h
+++ b/src/daemon/datapath.h
@@ -14,8 +14,8 @@
 struct hs_datapath_settings
 {
   struct hs_addr inner;
-  struct hs_addr control;
-  struct hs_addr admin;
+  struct hs_addr control; /* Port 0: no control link.  */
+  struct hs_addr admin;   /* Port 0: no server.  */
   size_t batches;
 };
 
@@ -44,7 +44,8 @@
 hs_datapath_create (void *parent, const struct hs_datapath_settings *settings,
                     const char *decide, struct hs_counters *counters,
                     GError **error);
-void hs_datapath_destroy (struct hs_datapath *path); /* Stops it first.  */
+void hs_datapath_stop (struct hs_datapath *path);    /* Its threads.  */
+void hs_datapath_destroy (struct hs_datapath *path); /* Once stopped.  */
 void hs_datapath_start (struct hs_datapath *path);
 void hs_datapath_run (struct hs_datapath *path,
                       hs_duty_fn *command);       /* By DECIDE; sleeps until
--- /dev/null
+++ b/src/daemon/follower.c
@@ -0,0 +1,366 @@
+/* follower.c -- how an entry or an agent keeps up with the control group.  */
+
+#include "daemon/follower.h"
+
+#include <string.h>
+#include <talloc.h>
+
+/* Types.  */
+
+/* Control hosts told in a tick: five are told within 1.25 s.  */
+#define ASKED_A_TICK 2
+
+/* Parts asked for before the first of them has come.  */
+#define FETCH_AHEAD 8
+
+/* Life of an entry that no host lists any more: longer than a control host
+   needs to hear of all entries after a start.  */
+#define ENTRY_LIFE_MS 12000
+
+/* Silence of the whole group that is told of.  */
+#define LOST_MS 3000
+
+#define CONTACTS_MAX (HS_SETTINGS_ADDRS_MAX + HS_INNER_ADDRS_MAX)
+#define CONFIGURATION_BYTES_MAX 1048576 /* Of its encoded form.  */
+
+struct listed_entry
+{
+  struct hs_addr address;
+  uint64_t listed_at; /* ms  */
+};
+
+/* A configuration on its way.  */
+struct fetch
+{
+  struct hs_addr from;
+  uint64_t version; /* 0: none.  */
+  uint32_t total;   /* Bytes; 0: not known yet.  */
+  uint32_t asked;   /* Up to that offset.  */
+  uint32_t missing; /* Parts.  */
+  uint8_t *bytes;
+  bool *has; /* By part.  */
+};
+
+struct hs_follower
+{
+  struct hs_inner_sync self;
+  struct hs_follower_ops ops;
+  void *ctx;
+  size_t seeds_len;
+  struct hs_addr seeds[HS_SETTINGS_ADDRS_MAX];
+  struct hs_inner_addrs controls; /* Learned.  */
+  size_t turn;
+  uint64_t heard_at; /* ms of an answer; 0: never.  */
+  bool lost;
+  size_t listed_len;
+  struct listed_entry listed[HS_INNER_ADDRS_MAX];
+  struct hs_inner_addrs entries; /* The same, as others want it.  */
+  struct fetch fetch;
+};
+
+/* Private functions.  */
+
+static void ask_next (struct hs_follower *follower);
+static size_t collect_contacts (const struct hs_follower *follower,
+                                struct hs_addr *contacts);
+static void take_status (struct hs_follower *follower,
+                         const struct hs_addr *from,
+                         const struct hs_inner_status *status, uint64_t now);
+static void take_entries (struct hs_follower *follower,
+                          const struct hs_inner_addrs *entries, uint64_t now);
+static void note_entry (struct hs_follower *follower,
+                        const struct hs_addr *address, uint64_t now);
+static void expire_entries (struct hs_follower *follower, uint64_t now);
+static void begin_fetch (struct hs_follower *follower,
+                         const struct hs_addr *from, uint64_t version);
+static void ask_parts (struct hs_follower *follower);
+static void ask_part (struct hs_follower *follower, uint32_t offset);
+static void ask_missing (struct hs_follower *follower);
+static void take_part (struct hs_follower *follower,
+                       const struct hs_addr *from,
+                       const struct hs_inner_part *part);
+static void end_fetch (struct hs_follower *follower);
+static uint32_t parts_of (uint32_t total);
+
+/* Public definitions.  */
+
+struct hs_follower *
+hs_follower_create (void *parent, const struct hs_inner_sync *self,
+                    const struct hs_follower_ops *ops, void *ctx)
+{
+  struct hs_follower *follower = talloc_zero (parent, struct hs_follower);
+
+  follower->self = *self;
+  follower->ops = *ops;
+  follower->ctx = ctx;
+  return follower;
+}
+
+void
+hs_follower_destroy (struct hs_follower *follower)
+{
+  talloc_free (follower);
+}
+
+void
+hs_follower_set_seeds (struct hs_follower *follower,
+                       const struct hs_addrs *seeds, uint16_t port)
+{
+  follower->seeds_len = seeds->len;
+  for (size_t i = 0; i < seeds->len; i++)
+    {
+      follower->seeds[i] = seeds->values[i];
+      follower->seeds[i].port = port;
+    }
+}
+
+void
+hs_follower_receive (struct hs_follower *follower, const struct hs_addr *from,
+                     const struct hs_inner *inner, uint64_t now)
+{
+  if (inner->type == HS_INNER_STATUS)
+    take_status (follower, from, &inner->status, now);
+  else if (inner->type == HS_INNER_PART)
+    take_part (follower, from, &inner->part);
+}
+
+void
+hs_follower_tick (struct hs_follower *follower, uint64_t now)
+{
+  bool lost = follower->heard_at != 0 && now - follower->heard_at > LOST_MS;
+
+  for (size_t i = 0; i < ASKED_A_TICK; i++)
+    ask_next (follower);
+  if (follower->fetch.version != 0)
+    ask_missing (follower);
+  /* While nobody answers, nobody can list an entry.  */
+  if (!lost)
+    expire_entries (follower, now);
+  if (lost != follower->lost)
+    {
+      follower->lost = lost;
+      follower->ops.lost (follower->ctx, lost);
+    }
+}
+
+void
+hs_follower_set_version (struct hs_follower *follower, uint64_t version)
+{
+  follower->self.version = version;
+}
+
+const struct hs_inner_addrs *
+hs_follower_entries (const struct hs_follower *follower)
+{
+  return &follower->entries;
+}
+
+/* Private definitions.  */
+
+static void
+ask_next (struct hs_follower *follower)
+{
+  struct hs_addr contacts[CONTACTS_MAX];
+  size_t len = collect_contacts (follower, contacts);
+  struct hs_inner sync = { .type = HS_INNER_SYNC, .sync = follower->self };
+
+  if (len > 0)
+    follower->ops.send (follower->ctx, &contacts[follower->turn++ % len],
+                        &sync);
+}
+
+/* Those that were learned, and the seeds that are not among them.  */
+static size_t
+collect_contacts (const struct hs_follower *follower, struct hs_addr *contacts)
+{
+  size_t len = follower->controls.len;
+
+  memcpy (contacts, follower->controls.values, len * sizeof *contacts);
+  for (size_t i = 0; i < follower->seeds_len; i++)
+    {
+      bool known = false;
+
+      for (size_t k = 0; k < follower->controls.len; k++)
+        known = known || hs_addr_equal (&contacts[k], &follower->seeds[i]);
+      if (!known)
+        contacts[len++] = follower->seeds[i];
+    }
+  return len;
+}
+
+static void
+take_status (struct hs_follower *follower, const struct hs_addr *from,
+             const struct hs_inner_status *status, uint64_t now)
+{
+  follower->heard_at = now;
+  if (status->controls.len > 0)
+    follower->controls = status->controls;
+  if (status->has_entries)
+    {
+      take_entries (follower, &status->entries, now);
+      follower->self.roster = status->roster;
+    }
+  else if (status->roster == follower->self.roster)
+    for (size_t i = 0; i < follower->listed_len; i++)
+      follower->listed[i].listed_at = now;
+  if (status->version > follower->self.version
+      && status->version > follower->fetch.version)
+    begin_fetch (follower, from, status->version);
+}
+
+static void
+take_entries (struct hs_follower *follower,
+              const struct hs_inner_addrs *entries, uint64_t now)
+{
+  for (size_t i = 0; i < entries->len; i++)
+    note_entry (follower, &entries->values[i], now);
+  expire_entries (follower, now);
+}
+
+static void
+note_entry (struct hs_follower *follower, const struct hs_addr *address,
+            uint64_t now)
+{
+  for (size_t i = 0; i < follower->listed_len; i++)
+    if (hs_addr_equal (&follower->listed[i].address, address))
+      {
+        follower->listed[i].listed_at = now;
+        return;
+      }
+  if (follower->listed_len == HS_INNER_ADDRS_MAX)
+    return;
+  follower->listed[follower->listed_len].address = *address;
+  follower->listed[follower->listed_len].listed_at = now;
+  follower->listed_len++;
+}
+
+/* A control host that has just started lists few: an entry stays for a while
+   after the last host has listed it.  */
+static void
+expire_entries (struct hs_follower *follower, uint64_t now)
+{
+  size_t len = 0;
+
+  for (size_t i = 0; i < follower->listed_len; i++)
+    if (now - follower->listed[i].listed_at <= ENTRY_LIFE_MS)
+      follower->listed[len++] = follower->listed[i];
+  follower->listed_len = len;
+  follower->entries.len = len;
+  for (size_t i = 0; i < len; i++)
+    follower->entries.values[i] = follower->listed[i].address;
+}
+
+static void
+begin_fetch (struct hs_follower *follower, const struct hs_addr *from,
+             uint64_t version)
+{
+  end_fetch (follower);
+  follower->fetch.from = *from;
+  follower->fetch.version = version;
+  ask_part (follower, 0);
+  follower->fetch.asked = HS_INNER_PART_MAX;
+}
+
+static void
+ask_parts (struct hs_follower *follower)
+{
+  struct fetch *fetch = &follower->fetch;
+  uint32_t ahead = 0;
+
+  while (fetch->asked < fetch->total && ahead++ < FETCH_AHEAD)
+    {
+      ask_part (follower, fetch->asked);
+      fetch->asked += HS_INNER_PART_MAX;
+    }
+}
+
+static void
+ask_part (struct hs_follower *follower, uint32_t offset)
+{
+  struct hs_inner fetch = { .type = HS_INNER_FETCH };
+
+  fetch.part.version = follower->fetch.version;
+  fetch.part.offset = offset;
+  follower->ops.send (follower->ctx, &follower->fetch.from, &fetch);
+}
+
+/* Parts may be lost, and so may the host that has them: the next answer of
+   another one then begins anew.  */
+static void
+ask_missing (struct hs_follower *follower)
+{
+  struct fetch *fetch = &follower->fetch;
+  uint32_t ahead = 0;
+
+  if (fetch->total == 0)
+    {
+      end_fetch (follower);
+      return;
+    }
+  for (uint32_t i = 0; i < parts_of (fetch->total); i++)
+    if (!fetch->has[i] && ahead++ < FETCH_AHEAD)
+      ask_part (follower, i * HS_INNER_PART_MAX);
+  /* If nothing comes until the next tick, the host is given up.  */
+  fetch->asked = fetch->total;
+  if (fetch->missing == parts_of (fetch->total))
+    end_fetch (follower);
+}
+
+static void
+take_part (struct hs_follower *follower, const struct hs_addr *from,
+           const struct hs_inner_part *part)
+{
+  struct fetch *fetch = &follower->fetch;
+  uint32_t number = part->offset / HS_INNER_PART_MAX;
+
+  if (fetch->version == 0 || !hs_addr_equal (from, &fetch->from)
+      || part->version < fetch->version
+      || part->total > CONFIGURATION_BYTES_MAX)
+    return;
+  if (part->total == 0)
+    {
+      end_fetch (follower);
+      return;
+    }
+  /* It has a later one by now.  */
+  if (part->version > fetch->version && fetch->total != 0)
+    {
+      begin_fetch (follower, from, part->version);
+      return;
+    }
+  if (fetch->total == 0)
+    {
+      fetch->version = part->version;
+      fetch->total = part->total;
+      fetch->missing = parts_of (part->total);
+      fetch->bytes = talloc_array (follower, uint8_t, part->total);
+      fetch->has = talloc_zero_array (follower, bool, fetch->missing);
+    }
+  if (part->total != fetch->total || part->offset % HS_INNER_PART_MAX != 0
+      || part->offset + part->len > fetch->total || fetch->has[number])
+    return;
+  memcpy (fetch->bytes + part->offset, part->bytes, part->len);
+  fetch->has[number] = true;
+  fetch->missing--;
+  if (fetch->missing > 0)
+    {
+      ask_parts (follower);
+      return;
+    }
+  follower->ops.configuration (follower->ctx, fetch->bytes, fetch->total);
+  end_fetch (follower);
+}
+
+static void
+end_fetch (struct hs_follower *follower)
+{
+  talloc_free (follower->fetch.bytes);
+  talloc_free (follower->fetch.has);
+  follower->fetch = (struct fetch){ .version = 0 };
+}
+
+static uint32_t
+parts_of (uint32_t total)
+{
+  return (total + HS_INNER_PART_MAX - 1) / HS_INNER_PART_MAX;
+}
--- /dev/null
+++ b/src/daemon/front.c
@@ -0,0 +1,361 @@
+/* front.c -- what the daemons of segment flows have in common.  */
+
+#include "daemon/front.h"
+#include "base/auto.h"
+#include "daemon/node.h"
+
+#include <string.h>
+
+/* Types.  */
+
+#define SEEDS_QUEUED 4
+#define STATUS_OK 200
+#define STATUS_NOT_FOUND 404
+#define STATUS_UNAVAILABLE 503
+
+/* Private functions.  */
+
+static void create_follower (struct hs_front *front);
+static void watch (struct hs_front *front);
+static void on_batch (void *ctx, void *item);
+static void on_inner (struct hs_front *front, struct hs_packet *packet,
+                      uint64_t now);
+static void on_seeds (void *ctx, void *item);
+static void on_command (void *ctx, void *item);
+static void on_drain (void *ctx);
+static void after_items (void *ctx);
+static void on_tick (void *ctx, uint64_t now);
+static void on_follow (void *ctx, uint64_t now);
+static void on_follower_send (void *ctx, const struct hs_addr *to,
+                              const struct hs_inner *inner);
+static void on_configuration (void *ctx, const uint8_t *bytes, size_t len);
+static void on_group_lost (void *ctx, bool lost);
+static void on_request (void *ctx, struct hs_http_request *request);
+
+/* Public definitions.  */
+
+struct hs_front *
+hs_front_create (void *parent, const struct hs_front_settings *settings,
+                 const struct hs_front_ops *ops, void *ctx,
+                 struct hs_counters *counters, struct hs_log *log,
+                 GError **error)
+{
+  struct hs_front *front = talloc_zero (parent, struct hs_front);
+  struct hs_datapath_settings path
+      = { .inner = settings->inner, .batches = settings->batches };
+
+  front->settings = *settings;
+  front->ops = *ops;
+  front->ctx = ctx;
+  front->log = log;
+  front->counters = counters;
+  front->slot = hs_slot_from_name (settings->name);
+  front->incarnation = hs_incarnation_create ();
+  front->seeds = hs_ring_create (front, SEEDS_QUEUED);
+  front->malformed = hs_counter_create (
+      counters, "malformed_total", "Datagrams that do not decode, dropped.");
+  front->log_dropped
+      = hs_gauge_create (counters, "log_lines_dropped_total",
+                         "Lines of the log dropped to bound its volume.");
+  front->path = hs_datapath_create (front, &path, "decide", counters, error);
+  if (front->path == NULL)
+    {
+      talloc_free (front);
+      return NULL;
+    }
+  create_follower (front);
+  front->http = hs_http_create (&settings->health, on_request, front, error);
+  if (front->http != NULL)
+    {
+      watch (front);
+      return front;
+    }
+  hs_datapath_destroy (front->path);
+  talloc_free (front);
+  return NULL;
+}
+
+void
+hs_front_destroy (struct hs_front *front)
+{
+  void *item;
+
+  hs_http_destroy (front->http);
+  hs_datapath_destroy (front->path);
+  while ((item = hs_ring_pop (front->seeds)) != NULL)
+    talloc_free (item);
+  talloc_free (front);
+}
+
+void
+hs_front_start (struct hs_front *front)
+{
+  hs_datapath_start (front->path);
+}
+
+void
+hs_front_stop (struct hs_front *front)
+{
+  hs_datapath_stop (front->path);
+}
+
+void
+hs_front_set_seeds (struct hs_front *front, const struct hs_addrs *seeds)
+{
+  struct hs_addrs *copy = talloc_memdup (NULL, seeds, sizeof *seeds);
+
+  if (!hs_ring_push (front->seeds, copy))
+    talloc_free (copy);
+}
+
+void
+hs_front_drain (struct hs_front *front)
+{
+  hs_datapath_run (front->path, on_drain);
+}
+
+void
+hs_front_drained (struct hs_front *front)
+{
+  hs_datapath_done (front->path);
+}
+
+void
+hs_front_set_ready (struct hs_front *front, const char *reason)
+{
+  hs_admin_set_unhealthy (front->path->admin, reason);
+}
+
+void
+hs_front_send (struct hs_front *front, const struct hs_addr *to,
+               const struct hs_inner *inner)
+{
+  struct hs_packet *packet = hs_outbox_add (front->outbox);
+
+  if (packet == NULL)
+    return;
+  packet->start = 0;
+  packet->len = (uint16_t)hs_inner_encode (inner, packet->data);
+  packet->peer = *to;
+  packet->fd = front->path->inner_fd;
+}
+
+void
+hs_front_wrap (struct hs_front *front, struct hs_packet *packet,
+               const struct hs_inner *inner, const struct hs_addr *to)
+{
+  uint8_t bytes[HS_INNER_SIZE_MAX];
+  size_t len = hs_inner_encode (inner, bytes);
+
+  packet->start = (uint16_t)(packet->start - len);
+  packet->len = (uint16_t)(packet->len + len);
+  memcpy (hs_packet_bytes (packet), bytes, len);
+  packet->peer = *to;
+  packet->fd = front->path->inner_fd;
+  packet->connected = false;
+}
+
+void
+hs_front_copy (struct hs_front *front, const struct hs_packet *packet)
+{
+  struct hs_packet *copy = hs_outbox_add (front->outbox);
+
+  if (copy == NULL)
+    return;
+  copy->fd = packet->fd;
+  copy->peer = packet->peer;
+  copy->start = packet->start;
+  copy->len = packet->len;
+  memcpy (hs_packet_bytes (copy), packet->data + packet->start, packet->len);
+}
+
+void
+hs_front_answer (struct hs_front *front, struct hs_packet *packet, int fd,
+                 const struct hs_addr *caller, uint16_t port)
+{
+  (void)front;
+  packet->peer = *caller;
+  packet->peer.port = port;
+  packet->fd = fd;
+  packet->connected = false;
+}
+
+/* Private definitions.  */
+
+static void
+create_follower (struct hs_front *front)
+{
+  struct hs_follower_ops ops
+      = { on_follower_send, on_configuration, on_group_lost };
+  struct hs_inner_sync self = { .role = front->settings.role,
+                                .slot = front->slot,
+                                .incarnation = front->incarnation,
+                                .address = front->settings.inner };
+  void *root = front->path->decide;
+
+  g_strlcpy (self.name, front->settings.name, HS_NAME_SIZE);
+  g_strlcpy (self.zone, front->settings.zone, HS_NAME_SIZE);
+  front->outbox
+      = hs_outbox_create (root, front->path->sending, front->counters);
+  front->follower = hs_follower_create (root, &self, &ops, front);
+  hs_follower_set_seeds (front->follower, &front->settings.seeds,
+                         (uint16_t)front->settings.seed_port);
+}
+
+static void
+watch (struct hs_front *front)
+{
+  struct hs_duty *decide = front->path->decide;
+  uint64_t now = hs_clock_now ();
+
+  front->timers = hs_timers_create (decide, now);
+  hs_timer_init (&front->tick, on_tick, front);
+  hs_timer_init (&front->follow, on_follow, front);
+  hs_timer_start (front->timers, &front->tick, now);
+  hs_timer_start (front->timers, &front->follow, now);
+  hs_duty_watch_ring (decide, front->path->received, on_batch, front);
+  hs_duty_watch_ring (decide, front->path->commands, on_command, front);
+  hs_duty_watch_ring (decide, front->seeds, on_seeds, front);
+  hs_duty_after_items (decide, after_items, front);
+  hs_duty_drive_timers (decide, front->timers);
+}
+
+static void
+on_batch (void *ctx, void *item)
+{
+  struct hs_front *front = ctx;
+  struct hs_batch *batch = item;
+  uint64_t now = hs_clock_now ();
+
+  for (size_t i = 0; i < batch->len; i++)
+    {
+      struct hs_packet *packet = &batch->packets[i];
+
+      packet->fd = -1;
+      if (packet->len == 0)
+        continue;
+      if (packet->tag == HS_TAG_INNER)
+        on_inner (front, packet, now);
+      else
+        front->ops.packet (front->ctx, packet, now);
+    }
+  hs_ring_push (front->path->sending, batch);
+}
+
+static void
+on_inner (struct hs_front *front, struct hs_packet *packet, uint64_t now)
+{
+  struct hs_inner inner;
+  size_t len = hs_inner_decode (hs_packet_bytes (packet), packet->len, &inner);
+
+  if (len == 0)
+    {
+      hs_counter_add (front->malformed, 1);
+      return;
+    }
+  if (inner.type == HS_INNER_STATUS || inner.type == HS_INNER_PART)
+    {
+      hs_follower_receive (front->follower, &packet->peer, &inner, now);
+      return;
+    }
+  packet->start = (uint16_t)(packet->start + len);
+  packet->len = (uint16_t)(packet->len - len);
+  front->ops.inner (front->ctx, packet, &inner, now);
+}
+
+static void
+on_seeds (void *ctx, void *item)
+{
+  struct hs_front *front = ctx;
+  HS_AUTO_TALLOC struct hs_addrs *seeds = item;
+
+  hs_follower_set_seeds (front->follower, seeds,
+                         (uint16_t)front->settings.seed_port);
+}
+
+static void
+on_command (void *ctx, void *item)
+{
+  hs_duty_fn *command = (hs_duty_fn *)item;
+
+  command (ctx);
+}
+
+static void
+on_drain (void *ctx)
+{
+  struct hs_front *front = ctx;
+
+  hs_log_write (front->log, HS_LOG_INFO, "draining", NULL);
+  front->ops.drain (front->ctx, hs_clock_now ());
+}
+
+static void
+after_items (void *ctx)
+{
+  struct hs_front *front = ctx;
+
+  hs_outbox_flush (front->outbox);
+}
+
+static void
+on_tick (void *ctx, uint64_t now)
+{
+  struct hs_front *front = ctx;
+
+  front->ops.tick (front->ctx, now);
+  hs_counter_set (front->log_dropped, hs_log_dropped (front->log));
+  hs_timer_start (front->timers, &front->tick, now + HS_FRONT_TICK_MS);
+}
+
+static void
+on_follow (void *ctx, uint64_t now)
+{
+  struct hs_front *front = ctx;
+
+  hs_follower_tick (front->follower, now);
+  hs_timer_start (front->timers, &front->follow, now + HS_FOLLOWER_TICK_MS);
+}
+
+static void
+on_follower_send (void *ctx, const struct hs_addr *to,
+                  const struct hs_inner *inner)
+{
+  hs_front_send (ctx, to, inner);
+}
+
+static void
+on_configuration (void *ctx, const uint8_t *bytes, size_t len)
+{
+  struct hs_front *front = ctx;
+
+  front->ops.configuration (front->ctx, bytes, len);
+}
+
+static void
+on_group_lost (void *ctx, bool lost)
+{
+  struct hs_front *front = ctx;
+
+  hs_log_write (front->log, lost ? HS_LOG_WARNING : HS_LOG_INFO,
+                lost ? "control-lost" : "control-regained", NULL);
+}
+
+static void
+on_request (void *ctx, struct hs_http_request *request)
+{
+  struct hs_front *front = ctx;
+  const struct hs_dialect *dialect = front->settings.dialect;
+  const char *reason = hs_admin_unhealthy (front->path->admin);
+  char id[HS_NAME_SIZE];
+
+  if (hs_admin_handle (front->path->admin, request))
+    return;
+  if (dialect->read_operation (dialect->ctx, hs_http_method (request),
+                               hs_http_path (request), id)
+      == HS_OPERATION_READY)
+    hs_http_answer (request, reason == NULL ? STATUS_OK : STATUS_UNAVAILABLE,
+                    "text/plain", reason == NULL ? "ok\n" : reason);
+  else
+    hs_http_answer (request, STATUS_NOT_FOUND, "text/plain", "not found\n");
+}
--- a/src/daemon/http.c
+++ b/src/daemon/http.c
@@ -42,6 +42,7 @@
   unsigned int status;
   char *content_type;
   char *answer;
+  char *location; /* NULL: none.  */
 };
 
 /* Private functions.  */
@@ -147,6 +148,14 @@
   return request->body;
 }
 
+void
+hs_http_redirect (struct hs_http_request *request, const char *location)
+{
+  request->location = g_strdup (location);
+  hs_http_answer (request, MHD_HTTP_TEMPORARY_REDIRECT, "text/plain",
+                  "see Location\n");
+}
+
 void
 hs_http_answer (struct hs_http_request *request, unsigned int status,
                 const char *content_type, const char *body)
@@ -233,6 +242,9 @@
       strlen (request->answer), request->answer, MHD_RESPMEM_MUST_COPY);
   MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
                            request->content_type);
+  if (request->location != NULL)
+    MHD_add_response_header (response, MHD_HTTP_HEADER_LOCATION,
+                             request->location);
   result = MHD_queue_response (request->connection, request->status, response);
   pthread_mutex_unlock (&request->lock);
   MHD_destroy_response (response);
@@ -252,6 +264,7 @@
     return;
   g_free (request->content_type);
   g_free (request->answer);
+  g_free (request->location);
   pthread_mutex_destroy (&request->lock);
   count_open (request->http, -1);
   talloc_free (request);
--- a/src/daemon/http.h
+++ b/src/daemon/http.h
@@ -5,7 +5,7 @@
 
 #include "hibiscusspan.h"
 
-#define HS_HTTP_BODY_MAX (HS_DOCUMENT_SIZE_MAX + 1) /* Bytes taken in.  */
+#define HS_HTTP_BODY_MAX (1024 * 1024) /* Bytes taken in.  */
 
 struct hs_http;
 struct hs_http_request;
@@ -26,6 +26,8 @@
 const char *hs_http_header (const struct hs_http_request *request,
                             const char *name); /* NULL: not given.  */
 const char *hs_http_body (const struct hs_http_request *request, size_t *len);
+void hs_http_redirect (struct hs_http_request *request,
+                       const char *location); /* 307: the same call there.  */
 void hs_http_answer (struct hs_http_request *request, unsigned int status,
                      const char *content_type, const char *body);
 
--- a/src/daemon/process.h
+++ b/src/daemon/process.h
@@ -11,6 +11,13 @@
 };
 
 enum hs_process_stop hs_process_wait_stop (void); /* Sleeps.  */
+
+typedef void hs_process_reload_fn (void *ctx);
+
+/* Sleeps until SIGTERM or SIGINT.  RELOAD is called on SIGHUP, and when the
+   file at PATH has changed; PATH "": no file.  */
+void hs_process_run (const char *path, hs_process_reload_fn *reload,
+                     void *ctx);
 void hs_process_stop (void); /* As if by SIGTERM; any thread.  */
 
 #endif /* HS_DAEMON_PROCESS_H */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -121,6 +121,7 @@
 void
 hs_entry_destroy (struct hs_entry *entry)
 {
+  hs_datapath_stop (entry->path);
   hs_datapath_destroy (entry->path);
   talloc_free (entry);
 }
--- /dev/null
+++ b/src/entry/segment_entry.c
@@ -0,0 +1,445 @@
+/* segment_entry.c -- the entry daemon of segment flows.
+
+   Threads: receive, decide (this file's decisions are in segment/), send,
+   the HTTP server, log.  Answers go from agents to callers past the
+   entries.  */
+
+#include "entry/segment_entry.h"
+#include "base/auto.h"
+#include "daemon/front.h"
+#include "wire/configuration_message.h"
+
+#include <string.h>
+#include <unistd.h>
+
+/* Types.  */
+
+#define BATCHES 16
+#define TAG_SEGMENTS 1
+
+/* After a start, for the agents to have heard of this entry.  */
+#define SETTLE_MS 1500
+
+/* A stop waits until callers' segments have ceased for this long, ...  */
+#define DRAIN_QUIET_MS 700
+
+/* ... and at least for the fabric to see that this entry is not ready: two
+   of its probes, 0.5 s apart, and their answers.  */
+#define DRAIN_MIN_MS 1600
+
+struct entry_counters
+{
+  struct hs_counter *forwarded;
+  struct hs_counter *placed;
+  struct hs_counter *placed_elsewhere;
+  struct hs_counter *asked;
+  struct hs_counter *held;
+  struct hs_counter *refused;
+  struct hs_counter *resets;
+  struct hs_counter *dropped;
+  struct hs_counter *reports;
+  struct hs_counter *flows;
+  struct hs_counter *version;
+};
+
+struct hs_segment_entry
+{
+  struct hs_segment_entry_settings settings;
+  struct hs_log *log;
+  struct hs_counters *counters;
+  struct entry_counters counts;
+  struct hs_front *front;
+  int segments_fd;
+
+  /* Of the decide thread alone.  */
+  struct hs_fleet *fleet;
+  struct hs_steering *steering;
+  struct hs_routing *routing; /* In force; NULL: none yet.  */
+  uint64_t started_at;        /* ms  */
+  uint64_t last_segment_at;   /* ms  */
+  uint64_t draining_since;    /* ms; 0: not draining  */
+  uint64_t expired_at;        /* ms  */
+};
+
+/* Private functions.  */
+
+static void create_counters (struct hs_segment_entry *entry);
+static void on_packet (void *ctx, struct hs_packet *packet, uint64_t now);
+static void on_inner (void *ctx, struct hs_packet *packet,
+                      const struct hs_inner *inner, uint64_t now);
+static void on_refused (struct hs_segment_entry *entry,
+                        struct hs_packet *packet,
+                        const struct hs_inner_header *header, uint64_t now);
+static void on_report (struct hs_segment_entry *entry,
+                       const struct hs_load_report *report, uint64_t now);
+static void on_configuration (void *ctx, const uint8_t *bytes, size_t len);
+static void on_tick (void *ctx, uint64_t now);
+static void on_drain (void *ctx, uint64_t now);
+static void carry_out (struct hs_segment_entry *entry,
+                       struct hs_packet *packet,
+                       const struct hs_segment *segment,
+                       const struct hs_steer *steer, uint64_t now);
+static void forward (struct hs_segment_entry *entry, struct hs_packet *packet,
+                     const struct hs_steer *steer);
+static void reset (struct hs_segment_entry *entry, struct hs_packet *packet,
+                   const struct hs_segment *segment);
+static void log_steer (struct hs_segment_entry *entry,
+                       const struct hs_segment *segment,
+                       const struct hs_steer *steer, uint64_t now);
+static void update_ready (struct hs_segment_entry *entry, uint64_t now);
+
+/* Public definitions.  */
+
+struct hs_segment_entry *
+hs_segment_entry_create (const struct hs_segment_entry_settings *settings,
+                         struct hs_log *log, GError **error)
+{
+  struct hs_segment_entry *entry = talloc_zero (NULL, struct hs_segment_entry);
+  struct hs_front_settings front = { .name = settings->name,
+                                     .zone = settings->zone,
+                                     .role = HS_ROLE_ENTRY,
+                                     .inner = settings->inner,
+                                     .health = settings->health,
+                                     .seeds = settings->seeds,
+                                     .seed_port = settings->seed_port,
+                                     .batches = BATCHES,
+                                     .dialect = settings->dialect };
+  struct hs_front_ops ops
+      = { on_packet, on_inner, on_configuration, on_tick, on_drain };
+
+  entry->settings = *settings;
+  entry->log = log;
+  entry->started_at = hs_clock_now ();
+  create_counters (entry);
+  entry->segments_fd = hs_socket_bind (&settings->segments, error);
+  if (entry->segments_fd >= 0)
+    entry->front = hs_front_create (entry, &front, &ops, entry,
+                                    entry->counters, log, error);
+  if (entry->front == NULL)
+    {
+      if (entry->segments_fd >= 0)
+        close (entry->segments_fd);
+      talloc_free (entry);
+      return NULL;
+    }
+  entry->fleet = hs_fleet_create (entry->front->path->decide, settings->zone);
+  entry->steering
+      = hs_steering_create (entry->front->path->decide, entry->fleet);
+  hs_receiver_watch (entry->front->path->receiver, entry->segments_fd,
+                     TAG_SEGMENTS);
+  return entry;
+}
+
+void
+hs_segment_entry_destroy (struct hs_segment_entry *entry)
+{
+  hs_front_stop (entry->front);
+  hs_front_destroy (entry->front);
+  close (entry->segments_fd);
+  talloc_free (entry);
+}
+
+void
+hs_segment_entry_start (struct hs_segment_entry *entry)
+{
+  hs_front_start (entry->front);
+}
+
+void
+hs_segment_entry_set_seeds (struct hs_segment_entry *entry,
+                            const struct hs_addrs *seeds)
+{
+  hs_front_set_seeds (entry->front, seeds);
+}
+
+void
+hs_segment_entry_drain (struct hs_segment_entry *entry)
+{
+  hs_front_drain (entry->front);
+}
+
+/* Private definitions.  */
+
+static void
+create_counters (struct hs_segment_entry *entry)
+{
+  struct hs_counters *all = hs_counters_create (entry, "hibiscusspan_entry");
+  struct entry_counters *counts = &entry->counts;
+
+  entry->counters = all;
+  counts->forwarded = hs_counter_create (
+      all, "segments_forwarded_total", "Segments of callers sent to agents.");
+  counts->placed = hs_counter_create (all, "flows_placed_total",
+                                      "SYNs offered to an agent.");
+  counts->placed_elsewhere
+      = hs_counter_create (all, "flows_placed_elsewhere_total",
+                           "SYNs offered outside the availability zone.");
+  counts->asked
+      = hs_counter_create (all, "segments_asked_total",
+                           "Segments of unknown flows sent to all agents "
+                           "that may hold them.");
+  counts->held = hs_counter_create (all, "flows_held_total",
+                                    "Flows that an agent said it holds.");
+  counts->refused = hs_counter_create (all, "syns_refused_total",
+                                       "SYNs that an agent gave back.");
+  counts->resets
+      = hs_counter_create (all, "resets_total", "SYNs answered by a reset.");
+  counts->dropped = hs_counter_create (all, "segments_dropped_total",
+                                       "Segments that nobody takes.");
+  counts->reports = hs_counter_create (all, "load_reports_total",
+                                       "Load reports of agents.");
+  counts->flows = hs_gauge_create (all, "flows", "Flows known here.");
+  counts->version = hs_gauge_create (all, "configuration_version",
+                                     "Version of the configuration here.");
+}
+
+static void
+on_packet (void *ctx, struct hs_packet *packet, uint64_t now)
+{
+  struct hs_segment_entry *entry = ctx;
+  const struct hs_dialect *dialect = entry->settings.dialect;
+  struct hs_segment segment;
+  struct hs_steer steer;
+
+  entry->last_segment_at = now;
+  if (!dialect->decode_segment (dialect->ctx, hs_packet_bytes (packet),
+                                packet->len, &segment))
+    {
+      hs_counter_add (entry->front->malformed, 1);
+      return;
+    }
+  steer = hs_steering_route (entry->steering, &segment, now);
+  carry_out (entry, packet, &segment, &steer, now);
+}
+
+static void
+on_inner (void *ctx, struct hs_packet *packet, const struct hs_inner *inner,
+          uint64_t now)
+{
+  struct hs_segment_entry *entry = ctx;
+
+  if (inner->type == HS_INNER_REFUSED)
+    on_refused (entry, packet, &inner->header, now);
+  else if (inner->type == HS_INNER_REPORT)
+    on_report (entry, &inner->report, now);
+  else if (inner->type == HS_INNER_HELD)
+    {
+      hs_counter_add (entry->counts.held, 1);
+      hs_steering_held (entry->steering, &inner->held.key, inner->held.slot,
+                        now);
+    }
+}
+
+static void
+on_refused (struct hs_segment_entry *entry, struct hs_packet *packet,
+            const struct hs_inner_header *header, uint64_t now)
+{
+  const struct hs_dialect *dialect = entry->settings.dialect;
+  struct hs_segment segment;
+  struct hs_steer steer;
+  char caller[HS_ADDR_TEXT_SIZE];
+
+  if (!dialect->decode_segment (dialect->ctx, hs_packet_bytes (packet),
+                                packet->len, &segment))
+    {
+      hs_counter_add (entry->front->malformed, 1);
+      return;
+    }
+  hs_counter_add (entry->counts.refused, 1);
+  hs_addr_format (&segment.from, caller);
+  hs_log_write (entry->log, HS_LOG_INFO, "syn-refused", "{s:s, s:s, s:s}",
+                "caller", caller, "reason", hs_reason_name (header->reason),
+                "verdict", hs_outcome_name (HS_NOT_RUN));
+  steer = hs_steering_refused (entry->steering, &segment, header->slot,
+                               header->reason, now);
+  carry_out (entry, packet, &segment, &steer, now);
+}
+
+static void
+on_report (struct hs_segment_entry *entry, const struct hs_load_report *report,
+           uint64_t now)
+{
+  char address[HS_ADDR_TEXT_SIZE];
+
+  hs_counter_add (entry->counts.reports, 1);
+  if (!hs_fleet_report (entry->fleet, report, now))
+    return;
+  hs_addr_format (&report->address, address);
+  hs_log_write (entry->log, HS_LOG_INFO, "agent-changed",
+                "{s:s, s:s, s:i, s:i, s:I}", "agent", address, "zone",
+                report->zone, "state", (int)report->state, "slots",
+                (int)report->slots, "incarnation",
+                (json_int_t)report->incarnation);
+}
+
+static void
+on_configuration (void *ctx, const uint8_t *bytes, size_t len)
+{
+  struct hs_segment_entry *entry = ctx;
+  g_autoptr (GError) error = NULL;
+  HS_AUTO_TALLOC struct hs_configuration *configuration
+      = hs_configuration_decode (NULL, bytes, len, &error);
+  struct hs_routing *old = entry->routing;
+
+  if (configuration == NULL)
+    {
+      hs_log_write (entry->log, HS_LOG_ERROR, "configuration-unreadable",
+                    "{s:s}", "error", error->message);
+      return;
+    }
+  if (old != NULL && configuration->version <= hs_routing_version (old))
+    return;
+  entry->routing
+      = hs_routing_create (entry->front->path->decide, configuration);
+  hs_steering_set_routing (entry->steering, entry->routing);
+  hs_follower_set_version (entry->front->follower, configuration->version);
+  hs_routing_destroy (old);
+  hs_counter_set (entry->counts.version, configuration->version);
+  hs_log_write (entry->log, HS_LOG_INFO, "configuration-in-force",
+                "{s:I, s:i}", "version", (json_int_t)configuration->version,
+                "routes", (int)configuration->routes_len);
+}
+
+static void
+on_tick (void *ctx, uint64_t now)
+{
+  struct hs_segment_entry *entry = ctx;
+
+  hs_steering_expire (entry->steering, now);
+  hs_fleet_expire (entry->fleet, now);
+  hs_counter_set (entry->counts.flows, hs_steering_flows (entry->steering));
+  update_ready (entry, now);
+  if (entry->draining_since == 0 || now - entry->draining_since < DRAIN_MIN_MS)
+    return;
+  if (now - entry->last_segment_at >= DRAIN_QUIET_MS
+      || now - entry->draining_since >= entry->settings.drain_max_ms)
+    {
+      hs_log_write (entry->log, HS_LOG_INFO, "drained", NULL);
+      hs_front_drained (entry->front);
+      entry->draining_since = UINT64_MAX; /* Once.  */
+    }
+}
+
+static void
+on_drain (void *ctx, uint64_t now)
+{
+  struct hs_segment_entry *entry = ctx;
+
+  entry->draining_since = now;
+}
+
+static void
+carry_out (struct hs_segment_entry *entry, struct hs_packet *packet,
+           const struct hs_segment *segment, const struct hs_steer *steer,
+           uint64_t now)
+{
+  packet->fd = -1;
+  log_steer (entry, segment, steer, now);
+  switch (steer->kind)
+    {
+    case HS_STEER_FORWARD:
+      forward (entry, packet, steer);
+      break;
+    case HS_STEER_RESET:
+      reset (entry, packet, segment);
+      break;
+    case HS_STEER_DROP:
+      hs_counter_add (entry->counts.dropped, 1);
+      break;
+    }
+}
+
+static void
+forward (struct hs_segment_entry *entry, struct hs_packet *packet,
+         const struct hs_steer *steer)
+{
+  struct hs_inner inner = { .type = HS_INNER_FORWARD };
+  uint16_t start = packet->start;
+  uint16_t len = packet->len;
+
+  if (steer->placed)
+    hs_counter_add (entry->counts.placed, 1);
+  if (steer->placed && !steer->to[0]->in_zone)
+    hs_counter_add (entry->counts.placed_elsewhere, 1);
+  if (steer->ask)
+    hs_counter_add (entry->counts.asked, 1);
+  hs_counter_add (entry->counts.forwarded, 1);
+  inner.header.ask = steer->ask;
+  for (size_t i = 0; i < steer->len; i++)
+    {
+      const struct hs_load_report *report = &steer->to[i]->report;
+
+      packet->start = start;
+      packet->len = len;
+      inner.header.service = report->service;
+      inner.header.slot = report->slot;
+      hs_front_wrap (entry->front, packet, &inner, &report->address);
+      if (i + 1 < steer->len)
+        hs_front_copy (entry->front, packet);
+    }
+}
+
+static void
+reset (struct hs_segment_entry *entry, struct hs_packet *packet,
+       const struct hs_segment *segment)
+{
+  const struct hs_dialect *dialect = entry->settings.dialect;
+
+  hs_counter_add (entry->counts.resets, 1);
+  packet->len = (uint16_t)dialect->encode_reset (dialect->ctx, segment,
+                                                 hs_packet_bytes (packet));
+  hs_front_answer (entry->front, packet, entry->segments_fd, &segment->from,
+                   entry->settings.segments.port);
+}
+
+/* A line for each flow that is placed or refused, and for each segment that
+   is asked for or dropped; forwarding to a known holder is only counted.  */
+static void
+log_steer (struct hs_segment_entry *entry, const struct hs_segment *segment,
+           const struct hs_steer *steer, uint64_t now)
+{
+  char caller[HS_ADDR_TEXT_SIZE];
+  char address[HS_ADDR_TEXT_SIZE];
+  json_int_t version = entry->routing != NULL
+                           ? (json_int_t)hs_routing_version (entry->routing)
+                           : 0;
+
+  if (steer->kind == HS_STEER_FORWARD && !steer->placed && !steer->ask)
+    return;
+  hs_addr_format (&segment->from, caller);
+  hs_addr_format (&segment->to, address);
+  if (steer->kind == HS_STEER_FORWARD && steer->placed)
+    {
+      const struct hs_backend *backend = steer->to[0];
+      char agent[HS_ADDR_TEXT_SIZE];
+
+      hs_addr_format (&backend->report.address, agent);
+      hs_log_write (entry->log, HS_LOG_INFO, "flow-placed",
+                    "{s:s, s:s, s:I, s:s, s:i, s:i, s:I, s:b}", "caller",
+                    caller, "address", address, "version", version, "agent",
+                    agent, "busy", (int)backend->report.busy, "slots",
+                    (int)backend->report.slots, "report_age_ms",
+                    (json_int_t)(now - backend->heard_at), "in_zone",
+                    backend->in_zone);
+      return;
+    }
+  hs_log_write (entry->log, HS_LOG_INFO,
+                steer->kind == HS_STEER_FORWARD ? "holder-asked"
+                : steer->kind == HS_STEER_RESET ? "flow-reset"
+                                                : "segment-dropped",
+                "{s:s, s:s, s:I, s:s, s:i}", "caller", caller, "address",
+                address, "version", version, "reason",
+                hs_reason_name (steer->reason), "agents", (int)steer->len);
+}
+
+static void
+update_ready (struct hs_segment_entry *entry, uint64_t now)
+{
+  const struct hs_backend *any;
+
+  if (entry->draining_since != 0)
+    return;
+  if (entry->routing != NULL && now - entry->started_at >= SETTLE_MS
+      && hs_fleet_of_service (entry->fleet, 0, &any, 1) > 0)
+    hs_front_set_ready (entry->front, NULL);
+}
--- /dev/null
+++ b/src/segment/flow_table.c
@@ -0,0 +1,133 @@
+/* flow_table.c -- a bounded table of segment flows.  */
+
+#include "segment/flow_table.h"
+
+#include <talloc.h>
+
+/* Types.  */
+
+struct hs_flow_table
+{
+  size_t size;
+  size_t max;
+  hs_flow_gone *gone;
+  void *ctx;
+  struct hs_table *flows;
+  struct hs_list ages; /* Oldest activity first.  */
+};
+
+/* Private functions.  */
+
+static bool match_key (const struct hs_table_node *node, const void *key);
+static struct hs_segment_flow *oldest (const struct hs_flow_table *table);
+
+/* Public definitions.  */
+
+struct hs_flow_table *
+hs_flow_table_create (void *parent, size_t size, size_t max,
+                      hs_flow_gone *gone, void *ctx)
+{
+  struct hs_flow_table *table = talloc_zero (parent, struct hs_flow_table);
+
+  table->size = size;
+  table->max = max;
+  table->gone = gone;
+  table->ctx = ctx;
+  table->flows = hs_table_create (table);
+  hs_list_init (&table->ages);
+  return table;
+}
+
+void
+hs_flow_table_destroy (struct hs_flow_table *table)
+{
+  talloc_free (table);
+}
+
+void *
+hs_flow_table_find (const struct hs_flow_table *table,
+                    const struct hs_segment_key *key)
+{
+  struct hs_table_node *node = hs_table_find (
+      table->flows, hs_segment_key_hash (key), match_key, key);
+
+  return node != NULL ? HS_LIST_ENTRY (node, struct hs_segment_flow, node)
+                      : NULL;
+}
+
+void *
+hs_flow_table_add (struct hs_flow_table *table,
+                   const struct hs_segment_key *key, uint64_t now)
+{
+  struct hs_segment_flow *flow;
+
+  if (hs_table_len (table->flows) >= table->max)
+    hs_flow_table_remove (table, oldest (table));
+  flow = talloc_zero_size (table, table->size);
+  flow->key = *key;
+  flow->active_at = now;
+  hs_table_insert (table->flows, &flow->node, hs_segment_key_hash (key));
+  hs_list_append (&table->ages, &flow->age);
+  return flow;
+}
+
+void
+hs_flow_table_touch (struct hs_flow_table *table, struct hs_segment_flow *flow,
+                     uint64_t now)
+{
+  flow->active_at = now;
+  hs_list_remove (&flow->age);
+  hs_list_append (&table->ages, &flow->age);
+}
+
+void
+hs_flow_table_remove (struct hs_flow_table *table,
+                      struct hs_segment_flow *flow)
+{
+  if (table->gone != NULL)
+    table->gone (table->ctx, flow);
+  hs_table_remove (table->flows, &flow->node);
+  hs_list_remove (&flow->age);
+  talloc_free (flow);
+}
+
+void
+hs_flow_table_expire (struct hs_flow_table *table, uint64_t idle_ms,
+                      uint64_t now)
+{
+  while (!hs_list_is_empty (&table->ages)
+         && now - oldest (table)->active_at > idle_ms)
+    hs_flow_table_remove (table, oldest (table));
+}
+
+void
+hs_flow_table_clear (struct hs_flow_table *table)
+{
+  while (!hs_list_is_empty (&table->ages))
+    hs_flow_table_remove (table, oldest (table));
+}
+
+size_t
+hs_flow_table_len (const struct hs_flow_table *table)
+{
+  return hs_table_len (table->flows);
+}
+
+/* Private definitions.  */
+
+static bool
+match_key (const struct hs_table_node *node, const void *key)
+{
+  const struct hs_segment_key *wanted = key;
+  const struct hs_segment_key *found
+      = &HS_LIST_ENTRY (node, struct hs_segment_flow, node)->key;
+
+  return hs_addr_equal (&found->caller, &wanted->caller)
+         && hs_addr_equal (&found->address, &wanted->address);
+}
+
+static struct hs_segment_flow *
+oldest (const struct hs_flow_table *table)
+{
+  return HS_LIST_ENTRY (table->ages.next, struct hs_segment_flow, age);
+}
--- /dev/null
+++ b/src/segment/routing.c
@@ -0,0 +1,211 @@
+/* routing.c -- the checks of a configuration, and look-ups in it.  */
+
+#include "hibiscusspan.h"
+
+#include <string.h>
+#include <talloc.h>
+#include <xxhash.h>
+
+/* Types.  */
+
+struct hs_routing
+{
+  uint64_t version;
+  uint32_t flow_idle_ms;
+  struct hs_table *rules; /* By address.  */
+};
+
+/* Private functions.  */
+
+static bool check_route (const struct hs_configuration *configuration,
+                         const struct hs_service_route *route, GError **error);
+static bool check_splits (const struct hs_configuration *configuration,
+                          const struct hs_service_route *route,
+                          GError **error);
+static bool check_addresses (void *parent,
+                             const struct hs_configuration *configuration,
+                             GError **error);
+static bool has_service (const struct hs_configuration *configuration,
+                         const char *service);
+static void add_rule (struct hs_routing *routing,
+                      const struct hs_service_route *route);
+static uint64_t address_hash (const struct hs_addr *address);
+static bool match_address (const struct hs_table_node *node, const void *key);
+static bool refuse (const struct hs_service_route *route, const char *what,
+                    GError **error);
+
+/* Public definitions.  */
+
+bool
+hs_configuration_check (const struct hs_configuration *configuration,
+                        GError **error)
+{
+  void *scratch = talloc_new (NULL);
+  bool valid = true;
+
+  for (size_t i = 0; valid && i < configuration->routes_len; i++)
+    valid = check_route (configuration, &configuration->routes[i], error);
+  valid = valid && check_addresses (scratch, configuration, error);
+  talloc_free (scratch);
+  return valid;
+}
+
+struct hs_routing *
+hs_routing_create (void *parent, const struct hs_configuration *configuration)
+{
+  struct hs_routing *routing = talloc_zero (parent, struct hs_routing);
+
+  routing->version = configuration->version;
+  routing->flow_idle_ms = configuration->flow_idle_ms;
+  routing->rules = hs_table_create (routing);
+  for (size_t i = 0; i < configuration->routes_len; i++)
+    add_rule (routing, &configuration->routes[i]);
+  return routing;
+}
+
+void
+hs_routing_destroy (struct hs_routing *routing)
+{
+  talloc_free (routing);
+}
+
+uint64_t
+hs_routing_version (const struct hs_routing *routing)
+{
+  return routing->version;
+}
+
+uint32_t
+hs_routing_flow_idle_ms (const struct hs_routing *routing)
+{
+  return routing->flow_idle_ms;
+}
+
+const struct hs_routing_rule *
+hs_routing_find (const struct hs_routing *routing,
+                 const struct hs_addr *address)
+{
+  struct hs_table_node *node = hs_table_find (
+      routing->rules, address_hash (address), match_address, address);
+
+  return node != NULL ? HS_LIST_ENTRY (node, struct hs_routing_rule, node)
+                      : NULL;
+}
+
+uint64_t
+hs_routing_pick (const struct hs_routing_rule *rule, uint64_t hash)
+{
+  uint32_t point = (uint32_t)(hash % rule->weight);
+
+  for (size_t i = 0; i < rule->splits_len; i++)
+    {
+      if (point < rule->splits[i].weight)
+        return rule->splits[i].service;
+      point -= rule->splits[i].weight;
+    }
+  return rule->splits[0].service;
+}
+
+/* Private definitions.  */
+
+static bool
+check_route (const struct hs_configuration *configuration,
+             const struct hs_service_route *route, GError **error)
+{
+  if (route->timeout_ms == 0)
+    return refuse (route, "the timeout is 0", error);
+  return check_splits (configuration, route, error);
+}
+
+static bool
+check_splits (const struct hs_configuration *configuration,
+              const struct hs_service_route *route, GError **error)
+{
+  uint64_t weight = 0;
+
+  if (route->splits_len == 0 || route->splits_len > HS_SPLITS_MAX)
+    return refuse (route, "takes 1 to 8 services", error);
+  for (size_t i = 0; i < route->splits_len; i++)
+    {
+      if (!has_service (configuration, route->splits[i].service))
+        return refuse (route, "names an unknown service", error);
+      weight += route->splits[i].weight;
+    }
+  if (weight == 0 || weight > UINT32_MAX)
+    return refuse (route,
+                   "the weights of its services sum up to 0 or too "
+                   "much",
+                   error);
+  return true;
+}
+
+static bool
+check_addresses (void *parent, const struct hs_configuration *configuration,
+                 GError **error)
+{
+  struct hs_table *seen = hs_table_create (parent);
+
+  for (size_t i = 0; i < configuration->routes_len; i++)
+    {
+      const struct hs_service_route *route = &configuration->routes[i];
+      uint64_t hash = address_hash (&route->address);
+      struct hs_routing_rule *rule;
+
+      if (hs_table_find (seen, hash, match_address, &route->address) != NULL)
+        return refuse (route, "another route has its address", error);
+      rule = talloc_zero (parent, struct hs_routing_rule);
+      rule->address = route->address;
+      hs_table_insert (seen, &rule->node, hash);
+    }
+  return true;
+}
+
+static bool
+has_service (const struct hs_configuration *configuration, const char *service)
+{
+  for (size_t i = 0; i < configuration->services_len; i++)
+    if (strcmp (configuration->services[i], service) == 0)
+      return true;
+  return false;
+}
+
+static void
+add_rule (struct hs_routing *routing, const struct hs_service_route *route)
+{
+  struct hs_routing_rule *rule = talloc_zero (routing, struct hs_routing_rule);
+
+  rule->address = route->address;
+  rule->work = route->work;
+  rule->timeout_ms = route->timeout_ms;
+  rule->slo_ms = route->slo_ms;
+  rule->priority = route->priority;
+  rule->splits_len = route->splits_len;
+  for (size_t i = 0; i < route->splits_len; i++)
+    {
+      rule->splits[i].service = hs_slot_from_name (route->splits[i].service);
+      rule->splits[i].weight = route->splits[i].weight;
+      rule->weight += route->splits[i].weight;
+    }
+  hs_table_insert (routing->rules, &rule->node, address_hash (&rule->address));
+}
+
+static uint64_t
+address_hash (const struct hs_addr *address)
+{
+  return XXH3_64bits_withSeed (address->ip, sizeof address->ip, address->port);
+}
+
+static bool
+match_address (const struct hs_table_node *node, const void *key)
+{
+  return hs_addr_equal (
+      &HS_LIST_ENTRY (node, struct hs_routing_rule, node)->address, key);
+}
+
+static bool
+refuse (const struct hs_service_route *route, const char *what, GError **error)
+{
+  g_set_error (error, HS_ERROR, HS_ERROR_INVALID, "route %s: %s", route->name,
+               what);
+  return false;
+}
--- /dev/null
+++ b/src/segment/segment.c
@@ -0,0 +1,39 @@
+/* segment.c -- segments and the keys of their flows.  */
+
+#include "hibiscusspan.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Public definitions.  */
+
+uint64_t
+hs_segment_key_hash (const struct hs_segment_key *key)
+{
+  uint8_t bytes[2 * (sizeof key->caller.ip + sizeof key->caller.port)];
+  uint8_t *end = bytes;
+
+  memcpy (end, key->caller.ip, sizeof key->caller.ip);
+  end += sizeof key->caller.ip;
+  memcpy (end, &key->caller.port, sizeof key->caller.port);
+  end += sizeof key->caller.port;
+  memcpy (end, key->address.ip, sizeof key->address.ip);
+  end += sizeof key->address.ip;
+  memcpy (end, &key->address.port, sizeof key->address.port);
+  return XXH3_64bits (bytes, sizeof bytes);
+}
+
+struct hs_segment_key
+hs_segment_key (const struct hs_segment *segment, bool from_caller)
+{
+  if (from_caller)
+    return (struct hs_segment_key){ segment->from, segment->to };
+  return (struct hs_segment_key){ segment->to, segment->from };
+}
+
+bool
+hs_segment_opens (const struct hs_segment *segment)
+{
+  return (segment->flags & HS_SEGMENT_SYN) != 0
+         && (segment->flags & (HS_SEGMENT_ACK | HS_SEGMENT_RST)) == 0;
+}
--- /dev/null
+++ b/src/segment/sidecar.c
@@ -0,0 +1,488 @@
+/* sidecar.c -- what an agent does with the segments of its upstream's flows.
+
+   The upstream is the last witness of a flow: it gives back what it does not
+   hold.  An agent that starts beside an upstream that was there before has
+   no record of its flows; for as long as one may be left, it passes on
+   segments of flows it does not know and learns from the answers.
+
+   A request is in progress from the first payload of the caller until the
+   first payload of the upstream; the bytes themselves are not read.  */
+
+#include "segment/flow_table.h"
+
+#include <string.h>
+#include <talloc.h>
+
+/* Types.  */
+
+/* Silence after which a flow is forgotten: twice the idle time of flows.  */
+#define FLOW_IDLE_MS 30000
+
+/* How long flows of before may be left: the longest life of a flow and its
+   idle time.  */
+#define LEARN_MS 75000
+
+/* How long the upstream's word that it does not hold a flow is taken.  */
+#define NOT_HELD_MS 1500
+
+/* Heartbeats that are missed until the upstream counts as silent.  */
+#define HEARTBEATS_MISSED 3
+
+/* Time without any sign of the upstream after a SYN, whose handshake takes
+   less than 10 ms, until it counts as silent.  */
+#define UNANSWERED_MS 150
+
+/* Bytes of a flow; a sequence number further away is of another one.  */
+#define SPAN_MAX (1U << 24)
+
+enum flow_state
+{
+  FLOW_OPENING, /* Its SYN went to the upstream.  */
+  FLOW_OPEN,    /* The upstream has answered.  */
+  FLOW_PROBED,  /* Not known; a segment went to the upstream.  */
+  FLOW_NOT_HELD /* The upstream gave it back.  */
+};
+
+struct flow
+{
+  struct hs_segment_flow base;
+  enum flow_state state;
+  struct hs_addr entry; /* By which it was last heard.  */
+  uint32_t syn_seq;
+  uint32_t upstream_seq; /* Of the SYN+ACK.  */
+  bool has_upstream_seq;
+  bool asked;   /* PROBED: an entry wants to know.  */
+  bool busy;    /* A request is in progress.  */
+  bool is_open; /* Counted as an open flow.  */
+  bool caller_closed;
+  bool upstream_closed;
+};
+
+struct hs_sidecar
+{
+  char service_name[HS_NAME_SIZE];
+  uint64_t service;
+  struct hs_addr upstream;
+  uint64_t heartbeat_ms;
+  uint64_t started_wall; /* ms  */
+  struct hs_flow_table *flows;
+  bool leaving;
+
+  /* Of the upstream's present start.  */
+  enum hs_upstream_state state;
+  struct hs_heartbeat last;
+  uint64_t heard_at;         /* ms of the last heartbeat.  */
+  uint64_t cold_until;       /* ms  */
+  uint64_t learn_until;      /* ms; 0: every flow is known.  */
+  uint64_t spoke_at;         /* ms of its last segment.  */
+  uint64_t unanswered_since; /* ms of the first SYN since then; 0: none.  */
+  uint32_t busy;             /* Requests in progress.  */
+  uint32_t open;             /* Flows.  */
+};
+
+/* Private functions.  */
+
+static struct hs_sidecar_step take_syn (struct hs_sidecar *sidecar,
+                                        const struct hs_segment *segment,
+                                        const struct hs_addr *entry,
+                                        uint64_t now);
+static struct hs_sidecar_step take_unknown (struct hs_sidecar *sidecar,
+                                            const struct hs_segment *segment,
+                                            const struct hs_addr *entry,
+                                            bool ask, uint64_t now);
+static struct hs_sidecar_step take_known (struct hs_sidecar *sidecar,
+                                          struct flow *flow,
+                                          const struct hs_segment *segment,
+                                          const struct hs_addr *entry,
+                                          bool ask);
+static struct hs_sidecar_step take_returned (struct hs_sidecar *sidecar,
+                                             const struct hs_segment *segment,
+                                             uint64_t now);
+static struct hs_sidecar_step step (enum hs_sidecar_action action,
+                                    enum hs_reason reason);
+static void begin_start (struct hs_sidecar *sidecar,
+                         const struct hs_heartbeat *heartbeat, uint64_t now);
+static void note_upstream (struct hs_sidecar *sidecar, struct flow *flow,
+                           const struct hs_segment *segment);
+static void set_busy (struct hs_sidecar *sidecar, struct flow *flow,
+                      bool busy);
+static void set_open (struct hs_sidecar *sidecar, struct flow *flow,
+                      bool open);
+static bool is_of_another (const struct flow *flow,
+                           const struct hs_segment *segment);
+static void note_end (struct hs_sidecar *sidecar, struct flow *flow,
+                      const struct hs_segment *segment);
+static void on_flow_gone (void *ctx, struct hs_segment_flow *base);
+static bool is_unanswered (const struct hs_sidecar *sidecar, uint64_t now);
+static struct flow *get_flow (struct hs_sidecar *sidecar,
+                              const struct hs_segment_key *key, uint64_t now);
+
+/* Public definitions.  */
+
+struct hs_sidecar *
+hs_sidecar_create (void *parent, const char *service,
+                   const struct hs_addr *upstream, uint64_t heartbeat_ms,
+                   uint64_t wall_ms)
+{
+  struct hs_sidecar *sidecar = talloc_zero (parent, struct hs_sidecar);
+
+  g_strlcpy (sidecar->service_name, service, HS_NAME_SIZE);
+  sidecar->service = hs_slot_from_name (service);
+  sidecar->upstream = *upstream;
+  sidecar->heartbeat_ms = heartbeat_ms;
+  sidecar->started_wall = wall_ms;
+  sidecar->flows
+      = hs_flow_table_create (sidecar, sizeof (struct flow),
+                              HS_SIDECAR_FLOWS_MAX, on_flow_gone, sidecar);
+  return sidecar;
+}
+
+void
+hs_sidecar_destroy (struct hs_sidecar *sidecar)
+{
+  hs_flow_table_clear (sidecar->flows);
+  talloc_free (sidecar);
+}
+
+bool
+hs_sidecar_heartbeat (struct hs_sidecar *sidecar,
+                      const struct hs_heartbeat *heartbeat, uint64_t now,
+                      GError **error)
+{
+  if (strcmp (heartbeat->service, sidecar->service_name) != 0
+      || !hs_addr_equal (&heartbeat->address, &sidecar->upstream)
+      || (heartbeat->state != HS_UPSTREAM_READY
+          && heartbeat->state != HS_UPSTREAM_DRAINING))
+    {
+      g_set_error (error, HS_ERROR, HS_ERROR_INVALID,
+                   "heartbeat of %s names another service, address or state",
+                   heartbeat->id);
+      return false;
+    }
+  if (sidecar->last.born > heartbeat->born)
+    return true;
+  if (sidecar->last.born < heartbeat->born)
+    begin_start (sidecar, heartbeat, now);
+  else if (sidecar->last.seq >= heartbeat->seq)
+    return true;
+  sidecar->last = *heartbeat;
+  sidecar->heard_at = now;
+  sidecar->cold_until = now + heartbeat->cold_ms;
+  if (sidecar->state != HS_UPSTREAM_GONE)
+    sidecar->state = heartbeat->state;
+  return true;
+}
+
+void
+hs_sidecar_goodbye (struct hs_sidecar *sidecar, const char *id)
+{
+  if (strcmp (sidecar->last.id, id) == 0)
+    sidecar->state = HS_UPSTREAM_GONE;
+}
+
+void
+hs_sidecar_leave (struct hs_sidecar *sidecar)
+{
+  sidecar->leaving = true;
+}
+
+struct hs_sidecar_step
+hs_sidecar_from_entry (struct hs_sidecar *sidecar,
+                       const struct hs_segment *segment,
+                       const struct hs_addr *entry, uint64_t service, bool ask,
+                       uint64_t now)
+{
+  struct hs_segment_key key = hs_segment_key (segment, true);
+  struct flow *flow;
+
+  if (hs_segment_opens (segment))
+    {
+      if (service == sidecar->service)
+        return take_syn (sidecar, segment, entry, now);
+      return step (HS_SIDECAR_REFUSE, HS_REASON_WRONG_SERVICE);
+    }
+  flow = hs_flow_table_find (sidecar->flows, &key);
+  if (flow == NULL)
+    return take_unknown (sidecar, segment, entry, ask, now);
+  if (flow->state == FLOW_NOT_HELD
+      && now - flow->base.active_at <= NOT_HELD_MS)
+    return step (HS_SIDECAR_DROP, HS_REASON_WRONG_HOST);
+  hs_flow_table_touch (sidecar->flows, &flow->base, now);
+  return take_known (sidecar, flow, segment, entry, ask);
+}
+
+struct hs_sidecar_step
+hs_sidecar_from_upstream (struct hs_sidecar *sidecar,
+                          const struct hs_segment *segment, uint64_t now)
+{
+  struct hs_segment_key key = hs_segment_key (segment, false);
+  struct hs_sidecar_step answer = step (HS_SIDECAR_ANSWER, HS_REASON_NONE);
+  struct flow *flow;
+
+  sidecar->spoke_at = now;
+  sidecar->unanswered_since = 0;
+  if ((segment->flags & HS_SEGMENT_RETURNED) != 0)
+    return take_returned (sidecar, segment, now);
+  flow = hs_flow_table_find (sidecar->flows, &key);
+  if (flow == NULL && sidecar->learn_until == 0)
+    return answer;
+  flow = get_flow (sidecar, &key, now);
+  if (flow->state != FLOW_OPEN || !flow->is_open)
+    {
+      answer.opened = true;
+      answer.held = flow->asked;
+      answer.entry = flow->entry;
+      flow->asked = false;
+      flow->state = FLOW_OPEN;
+      set_open (sidecar, flow, true);
+    }
+  note_upstream (sidecar, flow, segment);
+  note_end (sidecar, flow, segment);
+  return answer;
+}
+
+void
+hs_sidecar_tick (struct hs_sidecar *sidecar, uint64_t now)
+{
+  uint64_t silence_ms = HEARTBEATS_MISSED * sidecar->heartbeat_ms;
+
+  hs_flow_table_expire (sidecar->flows, FLOW_IDLE_MS, now);
+  if (sidecar->learn_until != 0 && now >= sidecar->learn_until)
+    sidecar->learn_until = 0;
+  if (sidecar->cold_until != 0 && now >= sidecar->cold_until)
+    sidecar->cold_until = 0;
+  sidecar->last.cold_ms
+      = sidecar->cold_until > now ? (uint32_t)(sidecar->cold_until - now) : 0;
+  if (sidecar->state != HS_UPSTREAM_READY)
+    return;
+  if (now - sidecar->heard_at > silence_ms || is_unanswered (sidecar, now))
+    sidecar->state = HS_UPSTREAM_UNKNOWN;
+}
+
+void
+hs_sidecar_load (const struct hs_sidecar *sidecar,
+                 struct hs_load_report *report)
+{
+  report->service = sidecar->service;
+  report->state = HS_BACKEND_ABSENT;
+  if (sidecar->state == HS_UPSTREAM_READY)
+    report->state = HS_BACKEND_READY;
+  if (sidecar->state == HS_UPSTREAM_DRAINING
+      || (sidecar->leaving && sidecar->state == HS_UPSTREAM_READY))
+    report->state = HS_BACKEND_LEAVING;
+  report->slots = sidecar->last.slots;
+  report->busy = sidecar->busy;
+  report->flows = sidecar->open;
+  report->cold_ms = sidecar->last.cold_ms;
+}
+
+/* Private definitions.  */
+
+static struct hs_sidecar_step
+take_syn (struct hs_sidecar *sidecar, const struct hs_segment *segment,
+          const struct hs_addr *entry, uint64_t now)
+{
+  struct hs_segment_key key = hs_segment_key (segment, true);
+  struct hs_sidecar_step deliver = step (HS_SIDECAR_DELIVER, HS_REASON_NONE);
+  struct flow *flow;
+
+  if (sidecar->leaving || sidecar->state == HS_UPSTREAM_DRAINING
+      || sidecar->state == HS_UPSTREAM_GONE)
+    return step (HS_SIDECAR_REFUSE, HS_REASON_LEAVING);
+  if (sidecar->state == HS_UPSTREAM_UNKNOWN)
+    return step (HS_SIDECAR_REFUSE, HS_REASON_NO_UPSTREAM);
+  flow = get_flow (sidecar, &key, now);
+  if (flow->syn_seq != segment->seq || flow->state != FLOW_OPEN)
+    {
+      set_busy (sidecar, flow, false);
+      set_open (sidecar, flow, false);
+      flow->state = FLOW_OPENING;
+      flow->has_upstream_seq = false;
+      flow->caller_closed = false;
+      flow->upstream_closed = false;
+    }
+  flow->syn_seq = segment->seq;
+  flow->entry = *entry;
+  if (sidecar->unanswered_since == 0)
+    sidecar->unanswered_since = now;
+  deliver.opened = true;
+  return deliver;
+}
+
+static struct hs_sidecar_step
+take_unknown (struct hs_sidecar *sidecar, const struct hs_segment *segment,
+              const struct hs_addr *entry, bool ask, uint64_t now)
+{
+  struct hs_segment_key key = hs_segment_key (segment, true);
+  struct flow *flow;
+
+  if (sidecar->learn_until == 0)
+    return step (ask ? HS_SIDECAR_DROP : HS_SIDECAR_DELIVER,
+                 HS_REASON_WRONG_HOST);
+  flow = get_flow (sidecar, &key, now);
+  flow->state = FLOW_PROBED;
+  flow->asked = ask;
+  flow->entry = *entry;
+  if (segment->len > 0)
+    set_busy (sidecar, flow, true);
+  return step (HS_SIDECAR_DELIVER, HS_REASON_NONE);
+}
+
+static struct hs_sidecar_step
+take_known (struct hs_sidecar *sidecar, struct flow *flow,
+            const struct hs_segment *segment, const struct hs_addr *entry,
+            bool ask)
+{
+  struct hs_sidecar_step deliver = step (HS_SIDECAR_DELIVER, HS_REASON_NONE);
+
+  if (ask && is_of_another (flow, segment))
+    return step (HS_SIDECAR_DROP, HS_REASON_WRONG_HOST);
+  if (flow->state == FLOW_NOT_HELD)
+    flow->state = FLOW_PROBED;
+  flow->entry = *entry;
+  if (flow->state == FLOW_PROBED)
+    flow->asked = flow->asked || ask;
+  else
+    deliver.held = ask;
+  deliver.entry = *entry;
+  if (segment->len > 0)
+    set_busy (sidecar, flow, true);
+  note_end (sidecar, flow, segment);
+  return deliver;
+}
+
+/* What a caller sent comes back: the upstream does not hold its flow, or
+   cannot accept its SYN.  */
+static struct hs_sidecar_step
+take_returned (struct hs_sidecar *sidecar, const struct hs_segment *segment,
+               uint64_t now)
+{
+  struct hs_segment_key key = hs_segment_key (segment, true);
+  struct flow *flow = hs_flow_table_find (sidecar->flows, &key);
+  struct hs_sidecar_step refuse = step (HS_SIDECAR_REFUSE, HS_REASON_SHED);
+  bool was_open;
+
+  if (flow == NULL)
+    return step (HS_SIDECAR_DROP, HS_REASON_WRONG_HOST);
+  if (hs_segment_opens (segment))
+    {
+      refuse.entry = flow->entry;
+      hs_flow_table_remove (sidecar->flows, &flow->base);
+      return refuse;
+    }
+  was_open = flow->state == FLOW_OPEN;
+  set_busy (sidecar, flow, false);
+  set_open (sidecar, flow, false);
+  hs_flow_table_touch (sidecar->flows, &flow->base, now);
+  flow->state = FLOW_NOT_HELD;
+  /* It was open at this upstream and is there no more: only the caller does
+     not know yet.  */
+  return step (was_open ? HS_SIDECAR_RESET : HS_SIDECAR_DROP,
+               HS_REASON_WRONG_HOST);
+}
+
+static struct hs_sidecar_step
+step (enum hs_sidecar_action action, enum hs_reason reason)
+{
+  return (struct hs_sidecar_step){ .action = action, .reason = reason };
+}
+
+/* A later start of the upstream holds no flow of an earlier one.  */
+static void
+begin_start (struct hs_sidecar *sidecar, const struct hs_heartbeat *heartbeat,
+             uint64_t now)
+{
+  bool is_first = sidecar->last.born == 0;
+
+  sidecar->state = HS_UPSTREAM_UNKNOWN;
+  sidecar->learn_until = 0;
+  if (!is_first)
+    hs_flow_table_clear (sidecar->flows);
+  else if (heartbeat->born < sidecar->started_wall)
+    sidecar->learn_until = now + LEARN_MS;
+}
+
+static void
+note_upstream (struct hs_sidecar *sidecar, struct flow *flow,
+               const struct hs_segment *segment)
+{
+  unsigned int opening = HS_SEGMENT_SYN | HS_SEGMENT_ACK;
+
+  if ((segment->flags & opening) == opening)
+    {
+      flow->upstream_seq = segment->seq;
+      flow->has_upstream_seq = true;
+    }
+  if (segment->len > 0)
+    set_busy (sidecar, flow, false);
+}
+
+/* A copy of the SYN may have been answered by another upstream, whose
+   handshake the caller has taken.  */
+static bool
+is_of_another (const struct flow *flow, const struct hs_segment *segment)
+{
+  return flow->has_upstream_seq && (segment->flags & HS_SEGMENT_ACK) != 0
+         && segment->ack - flow->upstream_seq >= SPAN_MAX;
+}
+
+/* A flow that both ends have closed needs no record: the upstream answers
+   what may still come.  */
+static void
+note_end (struct hs_sidecar *sidecar, struct flow *flow,
+          const struct hs_segment *segment)
+{
+  bool from_caller = hs_addr_equal (&segment->from, &flow->base.key.caller);
+
+  if ((segment->flags & HS_SEGMENT_FIN) != 0 && from_caller)
+    flow->caller_closed = true;
+  if ((segment->flags & HS_SEGMENT_FIN) != 0 && !from_caller)
+    flow->upstream_closed = true;
+  if ((segment->flags & HS_SEGMENT_RST) != 0
+      || (flow->caller_closed && flow->upstream_closed))
+    hs_flow_table_remove (sidecar->flows, &flow->base);
+}
+
+static void
+set_busy (struct hs_sidecar *sidecar, struct flow *flow, bool busy)
+{
+  if (flow->busy == busy)
+    return;
+  flow->busy = busy;
+  sidecar->busy += busy ? 1 : (uint32_t)-1;
+}
+
+static void
+set_open (struct hs_sidecar *sidecar, struct flow *flow, bool open)
+{
+  if (flow->is_open == open)
+    return;
+  flow->is_open = open;
+  sidecar->open += open ? 1 : (uint32_t)-1;
+}
+
+static void
+on_flow_gone (void *ctx, struct hs_segment_flow *base)
+{
+  set_busy (ctx, (struct flow *)base, false);
+  set_open (ctx, (struct flow *)base, false);
+}
+
+static bool
+is_unanswered (const struct hs_sidecar *sidecar, uint64_t now)
+{
+  return sidecar->unanswered_since != 0
+         && now - sidecar->unanswered_since > UNANSWERED_MS;
+}
+
+static struct flow *
+get_flow (struct hs_sidecar *sidecar, const struct hs_segment_key *key,
+          uint64_t now)
+{
+  struct flow *flow = hs_flow_table_find (sidecar->flows, key);
+
+  if (flow == NULL)
+    return hs_flow_table_add (sidecar->flows, key, now);
+  hs_flow_table_touch (sidecar->flows, &flow->base, now);
+  return flow;
+}
--- /dev/null
+++ b/src/segment/steering.c
@@ -0,0 +1,303 @@
+/* steering.c -- what an entry does with a segment of a caller.
+
+   Only a SYN is placed.  Every other segment goes to the agent that holds
+   its flow: the one it was placed on, or, where this entry has not seen the
+   flow before, all agents of the route's services are asked, and the one
+   that holds it takes the segment and says so.  A copy of a SYN may be
+   offered to a second agent when the first one is in doubt; the flow is then
+   where the caller acknowledged the handshake, and asking tells.  */
+
+#include "segment/flow_table.h"
+
+#include <talloc.h>
+
+/* Types.  */
+
+/* Silence after which a flow is forgotten: twice the idle time of flows.  */
+#define FLOW_IDLE_MS 30000
+
+/* The copy of a SYN from which on the agent that got the others is doubted. */
+#define COPY_DOUBTED 2
+
+struct flow
+{
+  struct hs_segment_flow base;
+  uint64_t holder; /* Slot; 0: not known.  */
+  uint64_t service;
+  uint32_t syn_seq;
+  size_t tried_len;
+  uint64_t tried[HS_STEER_TRIES]; /* Slots that were offered the SYN.  */
+};
+
+struct hs_steering
+{
+  struct hs_fleet *fleet;
+  const struct hs_routing *routing; /* NULL: none yet.  */
+  struct hs_flow_table *flows;
+};
+
+/* Private functions.  */
+
+static struct hs_steer steer_syn (struct hs_steering *steering,
+                                  const struct hs_segment *segment,
+                                  uint64_t now);
+static struct hs_steer repeat_syn (struct hs_steering *steering,
+                                   struct flow *flow,
+                                   const struct hs_segment *segment,
+                                   uint64_t now);
+static struct hs_steer place (struct hs_steering *steering, struct flow *flow,
+                              uint64_t now);
+static struct hs_steer to_holder (struct hs_steering *steering,
+                                  struct flow *flow);
+static struct hs_steer to_tried (struct hs_steering *steering,
+                                 const struct flow *flow);
+static struct hs_steer ask_all (struct hs_steering *steering,
+                                const struct hs_segment *segment);
+static struct hs_steer to_one (const struct hs_backend *backend, bool placed);
+static struct hs_steer without (enum hs_steer_kind kind,
+                                enum hs_reason reason);
+static struct flow *get_flow (struct hs_steering *steering,
+                              const struct hs_segment_key *key, uint64_t now);
+static void untry (struct flow *flow, uint64_t slot);
+
+/* Public definitions.  */
+
+struct hs_steering *
+hs_steering_create (void *parent, struct hs_fleet *fleet)
+{
+  struct hs_steering *steering = talloc_zero (parent, struct hs_steering);
+
+  steering->fleet = fleet;
+  steering->flows = hs_flow_table_create (steering, sizeof (struct flow),
+                                          HS_STEERING_FLOWS_MAX, NULL, NULL);
+  return steering;
+}
+
+void
+hs_steering_destroy (struct hs_steering *steering)
+{
+  talloc_free (steering);
+}
+
+void
+hs_steering_set_routing (struct hs_steering *steering,
+                         const struct hs_routing *routing)
+{
+  steering->routing = routing;
+}
+
+struct hs_steer
+hs_steering_route (struct hs_steering *steering,
+                   const struct hs_segment *segment, uint64_t now)
+{
+  struct hs_segment_key key = hs_segment_key (segment, true);
+  struct flow *flow;
+
+  if (hs_segment_opens (segment))
+    return steer_syn (steering, segment, now);
+  flow = hs_flow_table_find (steering->flows, &key);
+  if (flow == NULL)
+    return ask_all (steering, segment);
+  hs_flow_table_touch (steering->flows, &flow->base, now);
+  if (flow->holder == 0 && flow->tried_len == 1)
+    flow->holder = flow->tried[0];
+  if (flow->holder != 0
+      && hs_fleet_find (steering->fleet, flow->holder) != NULL)
+    return to_holder (steering, flow);
+  if (flow->holder == 0 && flow->tried_len > 1)
+    return to_tried (steering, flow);
+  return ask_all (steering, segment);
+}
+
+struct hs_steer
+hs_steering_refused (struct hs_steering *steering,
+                     const struct hs_segment *syn, uint64_t slot,
+                     enum hs_reason reason, uint64_t now)
+{
+  struct hs_segment_key key = hs_segment_key (syn, true);
+  struct flow *flow = hs_flow_table_find (steering->flows, &key);
+
+  if (reason == HS_REASON_LEAVING)
+    hs_fleet_set_state (steering->fleet, slot, HS_BACKEND_LEAVING);
+  if (reason == HS_REASON_NO_UPSTREAM)
+    hs_fleet_set_state (steering->fleet, slot, HS_BACKEND_ABSENT);
+  if (flow == NULL || flow->syn_seq != syn->seq)
+    return without (HS_STEER_DROP, reason);
+  if (flow->holder == slot)
+    flow->holder = 0;
+  /* Another agent has it, too, and may yet take it.  */
+  if (flow->tried_len > 1 && flow->tried[flow->tried_len - 1] != slot)
+    {
+      untry (flow, slot);
+      return without (HS_STEER_DROP, reason);
+    }
+  return place (steering, flow, now);
+}
+
+void
+hs_steering_held (struct hs_steering *steering,
+                  const struct hs_segment_key *key, uint64_t slot,
+                  uint64_t now)
+{
+  get_flow (steering, key, now)->holder = slot;
+}
+
+void
+hs_steering_expire (struct hs_steering *steering, uint64_t now)
+{
+  hs_flow_table_expire (steering->flows, FLOW_IDLE_MS, now);
+}
+
+size_t
+hs_steering_flows (const struct hs_steering *steering)
+{
+  return hs_flow_table_len (steering->flows);
+}
+
+/* Private definitions.  */
+
+static struct hs_steer
+steer_syn (struct hs_steering *steering, const struct hs_segment *segment,
+           uint64_t now)
+{
+  struct hs_segment_key key = hs_segment_key (segment, true);
+  struct flow *flow = hs_flow_table_find (steering->flows, &key);
+  const struct hs_routing_rule *rule;
+
+  if (steering->routing == NULL)
+    return without (HS_STEER_DROP, HS_REASON_NOT_SETTLED);
+  rule = hs_routing_find (steering->routing, &segment->to);
+  if (rule == NULL)
+    return without (HS_STEER_RESET, HS_REASON_NO_SERVICE);
+  if (flow != NULL && flow->syn_seq == segment->seq && flow->tried_len > 0)
+    {
+      hs_flow_table_touch (steering->flows, &flow->base, now);
+      return repeat_syn (steering, flow, segment, now);
+    }
+  flow = get_flow (steering, &key, now);
+  flow->service = hs_routing_pick (
+      rule, hs_rank_score (flow->base.node.hash, segment->seq));
+  flow->syn_seq = segment->seq;
+  flow->holder = 0;
+  flow->tried_len = 0;
+  return place (steering, flow, now);
+}
+
+/* The caller counts its copies in the field ACK.  */
+static struct hs_steer
+repeat_syn (struct hs_steering *steering, struct flow *flow,
+            const struct hs_segment *segment, uint64_t now)
+{
+  uint64_t last = flow->tried[flow->tried_len - 1];
+  const struct hs_backend *backend = hs_fleet_find (steering->fleet, last);
+
+  if (backend != NULL && hs_fleet_takes_flows (backend, now)
+      && segment->ack < COPY_DOUBTED)
+    return to_one (backend, false);
+  return place (steering, flow, now);
+}
+
+/* Offers the SYN to one agent more.  Where none takes flows now, one may
+   before the caller's next copy.  */
+static struct hs_steer
+place (struct hs_steering *steering, struct flow *flow, uint64_t now)
+{
+  const struct hs_backend *backend = NULL;
+
+  if (flow->tried_len < HS_STEER_TRIES)
+    backend = hs_fleet_choose (steering->fleet, flow->service, flow->tried,
+                               flow->tried_len, now);
+  if (backend != NULL)
+    {
+      flow->tried[flow->tried_len++] = backend->report.slot;
+      return to_one (backend, true);
+    }
+  if (flow->tried_len > 0)
+    backend
+        = hs_fleet_find (steering->fleet, flow->tried[flow->tried_len - 1]);
+  if (backend != NULL && hs_fleet_takes_flows (backend, now))
+    return to_one (backend, false);
+  return without (HS_STEER_DROP, HS_REASON_NO_UPSTREAM);
+}
+
+static struct hs_steer
+to_holder (struct hs_steering *steering, struct flow *flow)
+{
+  return to_one (hs_fleet_find (steering->fleet, flow->holder), false);
+}
+
+static struct hs_steer
+to_tried (struct hs_steering *steering, const struct flow *flow)
+{
+  struct hs_steer steer = { .kind = HS_STEER_FORWARD, .ask = true };
+
+  for (size_t i = 0; i < flow->tried_len; i++)
+    {
+      const struct hs_backend *backend
+          = hs_fleet_find (steering->fleet, flow->tried[i]);
+
+      if (backend != NULL)
+        steer.to[steer.len++] = backend;
+    }
+  return steer;
+}
+
+static struct hs_steer
+ask_all (struct hs_steering *steering, const struct hs_segment *segment)
+{
+  const struct hs_routing_rule *rule
+      = steering->routing != NULL
+            ? hs_routing_find (steering->routing, &segment->to)
+            : NULL;
+  struct hs_steer steer = { .kind = HS_STEER_FORWARD, .ask = true };
+
+  /* A route may have been moved or dropped since the flow was opened.  */
+  if (rule == NULL || rule->splits_len > 1)
+    steer.len
+        = hs_fleet_of_service (steering->fleet, 0, steer.to, HS_STEER_MAX);
+  else
+    steer.len = hs_fleet_of_service (steering->fleet, rule->splits[0].service,
+                                     steer.to, HS_STEER_MAX);
+  if (steer.len == 0)
+    return without (HS_STEER_DROP, HS_REASON_NO_UPSTREAM);
+  return steer;
+}
+
+static struct hs_steer
+to_one (const struct hs_backend *backend, bool placed)
+{
+  struct hs_steer steer
+      = { .kind = HS_STEER_FORWARD, .placed = placed, .len = 1 };
+
+  steer.to[0] = backend;
+  return steer;
+}
+
+static struct hs_steer
+without (enum hs_steer_kind kind, enum hs_reason reason)
+{
+  return (struct hs_steer){ .kind = kind, .reason = reason };
+}
+
+static struct flow *
+get_flow (struct hs_steering *steering, const struct hs_segment_key *key,
+          uint64_t now)
+{
+  struct flow *flow = hs_flow_table_find (steering->flows, key);
+
+  if (flow == NULL)
+    return hs_flow_table_add (steering->flows, key, now);
+  hs_flow_table_touch (steering->flows, &flow->base, now);
+  return flow;
+}
+
+static void
+untry (struct flow *flow, uint64_t slot)
+{
+  size_t len = 0;
+
+  for (size_t i = 0; i < flow->tried_len; i++)
+    if (flow->tried[i] != slot)
+      flow->tried[len++] = flow->tried[i];
+  flow->tried_len = len;
+}
--- /dev/null
+++ b/src/wire/configuration_message.c
@@ -0,0 +1,232 @@
+/* configuration_message.c -- a configuration as compressed MessagePack.  */
+
+#include "wire/configuration_message.h"
+#include "wire/pack.h"
+#include "wire/unpack.h"
+
+#include <endian.h>
+#include <string.h>
+#include <talloc.h>
+#include <zlib.h>
+
+/* Types.  */
+
+#define ROUTES_MAX 65536
+#define SERVICES_MAX 65536
+#define FIELDS 4       /* Of a configuration.  */
+#define ROUTE_FIELDS 8 /* Of a route; its address is two.  */
+#define SPLIT_FIELDS 2
+#define PREFIX_SIZE sizeof (uint32_t) /* Length of what was compressed.  */
+
+/* Private functions.  */
+
+static void pack_route (msgpack_packer *out,
+                        const struct hs_service_route *route);
+static bool read_configuration (struct hs_configuration *configuration,
+                                const msgpack_object_array *fields);
+static void read_services (struct hs_unpack *in,
+                           struct hs_configuration *configuration);
+static void read_routes (struct hs_unpack *in,
+                         struct hs_configuration *configuration);
+static void read_route (struct hs_unpack *in, void *parent,
+                        struct hs_service_route *route);
+static const char *read_name (struct hs_unpack *in, void *parent);
+
+/* Public definitions.  */
+
+uint8_t *
+hs_configuration_encode (void *parent,
+                         const struct hs_configuration *configuration,
+                         size_t *len)
+{
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+  uint8_t *data;
+
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, FIELDS);
+  msgpack_pack_uint64 (&packer, configuration->version);
+  msgpack_pack_uint32 (&packer, configuration->flow_idle_ms);
+  msgpack_pack_array (&packer, configuration->services_len);
+  for (size_t i = 0; i < configuration->services_len; i++)
+    hs_pack_text (&packer, configuration->services[i]);
+  msgpack_pack_array (&packer, configuration->routes_len);
+  for (size_t i = 0; i < configuration->routes_len; i++)
+    pack_route (&packer, &configuration->routes[i]);
+  data = hs_bytes_compress (parent, (const uint8_t *)buffer.data, buffer.size,
+                            len);
+  msgpack_sbuffer_destroy (&buffer);
+  return data;
+}
+
+struct hs_configuration *
+hs_configuration_decode (void *parent, const uint8_t *data, size_t len,
+                         GError **error)
+{
+  HS_AUTO_UNPACKED msgpack_unpacked unpacked;
+  struct hs_configuration *configuration
+      = talloc_zero (parent, struct hs_configuration);
+  size_t plain_len;
+  size_t used = 0;
+  uint8_t *plain
+      = hs_bytes_uncompress (configuration, data, len, &plain_len, error);
+
+  msgpack_unpacked_init (&unpacked);
+  if (plain != NULL && hs_unpack_measure (plain, plain_len) == plain_len
+      && msgpack_unpack_next (&unpacked, (const char *)plain, plain_len, &used)
+             == MSGPACK_UNPACK_SUCCESS
+      && unpacked.data.type == MSGPACK_OBJECT_ARRAY
+      && read_configuration (configuration, &unpacked.data.via.array))
+    {
+      talloc_free (plain);
+      return configuration;
+    }
+  if (plain != NULL)
+    g_set_error (error, HS_ERROR, HS_ERROR_MALFORMED,
+                 "not an encoded configuration");
+  talloc_free (configuration);
+  return NULL;
+}
+
+uint8_t *
+hs_bytes_compress (void *parent, const uint8_t *data, size_t len,
+                   size_t *compressed_len)
+{
+  uLongf bound = compressBound ((uLong)len);
+  uint8_t *bytes = talloc_array (parent, uint8_t, PREFIX_SIZE + bound);
+  uint32_t prefix = htole32 ((uint32_t)len);
+
+  memcpy (bytes, &prefix, PREFIX_SIZE);
+  compress2 (bytes + PREFIX_SIZE, &bound, data, (uLong)len, Z_BEST_SPEED);
+  *compressed_len = PREFIX_SIZE + bound;
+  return talloc_realloc (parent, bytes, uint8_t, *compressed_len);
+}
+
+uint8_t *
+hs_bytes_uncompress (void *parent, const uint8_t *data, size_t len,
+                     size_t *uncompressed_len, GError **error)
+{
+  uint32_t prefix;
+  uLongf plain_len;
+  uint8_t *plain;
+
+  if (len > PREFIX_SIZE)
+    {
+      memcpy (&prefix, data, PREFIX_SIZE);
+      plain_len = le32toh (prefix);
+      if (plain_len <= HS_CONFIGURATION_BYTES_MAX)
+        {
+          *uncompressed_len = plain_len;
+          plain = talloc_array (parent, uint8_t, plain_len + 1);
+          plain[plain_len] = '\0';
+          if (uncompress (plain, &plain_len, data + PREFIX_SIZE,
+                          (uLong)(len - PREFIX_SIZE))
+                  == Z_OK
+              && plain_len == *uncompressed_len)
+            return plain;
+          talloc_free (plain);
+        }
+    }
+  g_set_error (error, HS_ERROR, HS_ERROR_MALFORMED, "not compressed bytes");
+  return NULL;
+}
+
+/* Private definitions.  */
+
+static void
+pack_route (msgpack_packer *out, const struct hs_service_route *route)
+{
+  msgpack_pack_array (out, ROUTE_FIELDS);
+  hs_pack_text (out, route->name);
+  hs_pack_addr (out, &route->address);
+  msgpack_pack_uint8 (out, (uint8_t)route->work);
+  msgpack_pack_uint32 (out, route->timeout_ms);
+  msgpack_pack_uint32 (out, route->slo_ms);
+  msgpack_pack_uint32 (out, route->priority);
+  msgpack_pack_array (out, route->splits_len * SPLIT_FIELDS);
+  for (size_t i = 0; i < route->splits_len; i++)
+    {
+      hs_pack_text (out, route->splits[i].service);
+      msgpack_pack_uint32 (out, route->splits[i].weight);
+    }
+}
+
+static bool
+read_configuration (struct hs_configuration *configuration,
+                    const msgpack_object_array *fields)
+{
+  struct hs_unpack in = { fields, 0, true };
+
+  configuration->version = hs_unpack_uint (&in, UINT64_MAX);
+  configuration->flow_idle_ms = (uint32_t)hs_unpack_uint (&in, UINT32_MAX);
+  read_services (&in, configuration);
+  read_routes (&in, configuration);
+  return in.ok;
+}
+
+static void
+read_services (struct hs_unpack *in, struct hs_configuration *configuration)
+{
+  uint32_t len;
+  struct hs_unpack inner = hs_unpack_array (in, &len, SERVICES_MAX);
+
+  configuration->services_len = len;
+  configuration->services = talloc_array (configuration, const char *, len);
+  for (uint32_t i = 0; i < len; i++)
+    configuration->services[i] = read_name (&inner, configuration);
+  in->ok = in->ok && inner.ok;
+}
+
+static void
+read_routes (struct hs_unpack *in, struct hs_configuration *configuration)
+{
+  uint32_t len;
+  struct hs_unpack inner = hs_unpack_array (in, &len, ROUTES_MAX);
+
+  configuration->routes_len = len;
+  configuration->routes
+      = talloc_zero_array (configuration, struct hs_service_route, len);
+  for (uint32_t i = 0; i < len; i++)
+    {
+      uint32_t fields;
+      struct hs_unpack route = hs_unpack_array (&inner, &fields, ROUTE_FIELDS);
+
+      read_route (&route, configuration, &configuration->routes[i]);
+      inner.ok = inner.ok && route.ok;
+    }
+  in->ok = in->ok && inner.ok;
+}
+
+static void
+read_route (struct hs_unpack *in, void *parent, struct hs_service_route *route)
+{
+  struct hs_unpack splits;
+  uint32_t len;
+
+  route->name = read_name (in, parent);
+  hs_unpack_addr (in, &route->address);
+  route->work = (enum hs_work)hs_unpack_uint (in, HS_WORK_UPLOAD);
+  route->timeout_ms = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
+  route->slo_ms = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
+  route->priority = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
+  splits = hs_unpack_array (in, &len, HS_SPLITS_MAX * SPLIT_FIELDS);
+  route->splits_len = len / SPLIT_FIELDS;
+  route->splits
+      = talloc_zero_array (parent, struct hs_split, route->splits_len);
+  for (size_t i = 0; i < route->splits_len; i++)
+    {
+      route->splits[i].service = read_name (&splits, parent);
+      route->splits[i].weight = (uint32_t)hs_unpack_uint (&splits, UINT32_MAX);
+    }
+  in->ok = in->ok && splits.ok;
+}
+
+static const char *
+read_name (struct hs_unpack *in, void *parent)
+{
+  char name[HS_NAME_SIZE];
+
+  hs_unpack_text (in, name, sizeof name);
+  return talloc_strdup (parent, name);
+}
--- /dev/null
+++ b/src/wire/replica_message.c
@@ -0,0 +1,360 @@
+/* replica_message.c -- messages between control hosts, and what they keep on
+   disk.  */
+
+#include "wire/replica_message.h"
+#include "wire/inner.h"
+#include "wire/pack.h"
+#include "wire/unpack.h"
+
+#include <talloc.h>
+
+/* Types.  */
+
+#define MESSAGE_FIELDS 15 /* With the type; addresses are two each.  */
+#define RECORD_FIELDS 6
+#define ENTRY_FIELDS 5
+#define BASE_FIELDS 4
+#define HOST_FIELDS 5 /* Of one host in a list of members.  */
+#define STORED_FIELDS 3
+
+/* Private functions.  */
+
+static uint8_t *take_buffer (void *parent, msgpack_sbuffer *buffer,
+                             size_t *len);
+static void pack_host (msgpack_packer *out,
+                       const struct hs_control_host *host);
+static void pack_members (msgpack_packer *out,
+                          const struct hs_members *members);
+static void pack_entry (msgpack_packer *out, const struct hs_log_entry *entry);
+static void pack_base (msgpack_packer *out, const struct hs_log_base *base);
+static void pack_bytes (msgpack_packer *out, const uint8_t *data, size_t len);
+static void read_host (struct hs_unpack *in, struct hs_control_host *host);
+static void read_members (struct hs_unpack *in, struct hs_members *members);
+static struct hs_log_entry *read_entry (struct hs_unpack *in, void *parent);
+static struct hs_log_base *read_base (struct hs_unpack *in, void *parent);
+static uint8_t *read_bytes (struct hs_unpack *in, void *parent, size_t *len);
+static void read_entries (struct hs_unpack *in,
+                          struct hs_replica_message *message);
+static bool open_array (msgpack_unpacked *unpacked, const uint8_t *data,
+                        size_t len, struct hs_unpack *in, GError **error);
+
+/* Public definitions.  */
+
+uint8_t *
+hs_replica_message_encode (void *parent,
+                           const struct hs_replica_message *message,
+                           size_t *len)
+{
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, MESSAGE_FIELDS);
+  msgpack_pack_uint8 (&packer, HS_INNER_REPLICA);
+  msgpack_pack_uint8 (&packer, (uint8_t)message->type);
+  msgpack_pack_uint64 (&packer, message->to);
+  msgpack_pack_array (&packer, HOST_FIELDS);
+  pack_host (&packer, &message->from);
+  msgpack_pack_uint64 (&packer, message->term);
+  msgpack_pack_uint64 (&packer, message->index);
+  msgpack_pack_uint64 (&packer, message->log_term);
+  msgpack_pack_uint64 (&packer, message->commit);
+  msgpack_pack_uint64 (&packer, message->round);
+  msgpack_pack_uint8 (&packer, message->pre);
+  msgpack_pack_uint8 (&packer, message->granted);
+  msgpack_pack_uint8 (&packer, message->base != NULL);
+  msgpack_pack_array (&packer, message->entries_len);
+  for (size_t i = 0; i < message->entries_len; i++)
+    pack_entry (&packer, message->entries[i]);
+  msgpack_pack_array (&packer, message->base != NULL ? BASE_FIELDS : 0);
+  if (message->base != NULL)
+    pack_base (&packer, message->base);
+  msgpack_pack_uint8 (&packer, 0); /* Room for a later version.  */
+  return take_buffer (parent, &buffer, len);
+}
+
+struct hs_replica_message *
+hs_replica_message_decode (void *parent, const uint8_t *data, size_t len,
+                           GError **error)
+{
+  HS_AUTO_UNPACKED msgpack_unpacked unpacked;
+  struct hs_replica_message *message
+      = talloc_zero (parent, struct hs_replica_message);
+  struct hs_unpack in;
+  struct hs_unpack host;
+  uint32_t host_len;
+  bool has_base = false;
+
+  msgpack_unpacked_init (&unpacked);
+  if (open_array (&unpacked, data, len, &in, error))
+    {
+      in.ok = hs_unpack_uint (&in, UINT8_MAX) == HS_INNER_REPLICA;
+      message->type = (enum hs_replica_message_type)hs_unpack_uint (
+          &in, HS_REPLICA_TAKE_OVER);
+      message->to = hs_unpack_uint (&in, UINT64_MAX);
+      host = hs_unpack_array (&in, &host_len, HOST_FIELDS);
+      read_host (&host, &message->from);
+      message->term = hs_unpack_uint (&in, UINT64_MAX);
+      message->index = hs_unpack_uint (&in, UINT64_MAX);
+      message->log_term = hs_unpack_uint (&in, UINT64_MAX);
+      message->commit = hs_unpack_uint (&in, UINT64_MAX);
+      message->round = hs_unpack_uint (&in, UINT64_MAX);
+      message->pre = hs_unpack_uint (&in, 1) != 0;
+      message->granted = hs_unpack_uint (&in, 1) != 0;
+      has_base = hs_unpack_uint (&in, 1) != 0;
+      read_entries (&in, message);
+      if (has_base)
+        message->base = read_base (&in, message);
+      if (in.ok && host.ok && message->type >= HS_REPLICA_ASK_VOTE
+          && has_base == (message->type == HS_REPLICA_BASE))
+        return message;
+      g_set_error (error, HS_ERROR, HS_ERROR_MALFORMED,
+                   "not a message of a replica");
+    }
+  talloc_free (message);
+  return NULL;
+}
+
+uint8_t *
+hs_replica_record_encode (void *parent, const struct hs_replica_record *record,
+                          size_t *len)
+{
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, RECORD_FIELDS);
+  msgpack_pack_uint8 (&packer, (uint8_t)record->type);
+  msgpack_pack_uint64 (&packer, record->id);
+  msgpack_pack_uint64 (&packer, record->term);
+  msgpack_pack_uint64 (&packer, record->vote);
+  msgpack_pack_array (&packer, record->entry != NULL);
+  if (record->entry != NULL)
+    pack_entry (&packer, record->entry);
+  msgpack_pack_array (&packer, record->base != NULL ? BASE_FIELDS : 0);
+  if (record->base != NULL)
+    pack_base (&packer, record->base);
+  return take_buffer (parent, &buffer, len);
+}
+
+struct hs_replica_record *
+hs_replica_record_decode (void *parent, const uint8_t *data, size_t len,
+                          GError **error)
+{
+  HS_AUTO_UNPACKED msgpack_unpacked unpacked;
+  struct hs_replica_record *record
+      = talloc_zero (parent, struct hs_replica_record);
+  struct hs_unpack in;
+  struct hs_unpack entries;
+  uint32_t entries_len;
+
+  msgpack_unpacked_init (&unpacked);
+  if (open_array (&unpacked, data, len, &in, error))
+    {
+      record->type = (enum hs_replica_record_type)hs_unpack_uint (
+          &in, HS_REPLICA_RECORD_BASE);
+      record->id = hs_unpack_uint (&in, UINT64_MAX);
+      record->term = hs_unpack_uint (&in, UINT64_MAX);
+      record->vote = hs_unpack_uint (&in, UINT64_MAX);
+      entries = hs_unpack_array (&in, &entries_len, 1);
+      if (record->type == HS_REPLICA_RECORD_ENTRY)
+        record->entry = read_entry (&entries, record);
+      if (record->type == HS_REPLICA_RECORD_BASE)
+        record->base = read_base (&in, record);
+      if (in.ok && entries.ok && record->type >= HS_REPLICA_RECORD_HOST)
+        return record;
+      g_set_error (error, HS_ERROR, HS_ERROR_MALFORMED,
+                   "not a record of a replica");
+    }
+  talloc_free (record);
+  return NULL;
+}
+
+uint8_t *
+hs_stored_configuration_encode (void *parent,
+                                const struct hs_stored_configuration *stored,
+                                size_t *len)
+{
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, STORED_FIELDS);
+  msgpack_pack_uint64 (&packer, stored->version);
+  pack_bytes (&packer, stored->source, stored->source_len);
+  pack_bytes (&packer, stored->routes, stored->routes_len);
+  return take_buffer (parent, &buffer, len);
+}
+
+struct hs_stored_configuration *
+hs_stored_configuration_decode (void *parent, const uint8_t *data, size_t len,
+                                GError **error)
+{
+  HS_AUTO_UNPACKED msgpack_unpacked unpacked;
+  struct hs_stored_configuration *stored
+      = talloc_zero (parent, struct hs_stored_configuration);
+  struct hs_unpack in;
+
+  msgpack_unpacked_init (&unpacked);
+  if (open_array (&unpacked, data, len, &in, error))
+    {
+      stored->version = hs_unpack_uint (&in, UINT64_MAX);
+      stored->source = read_bytes (&in, stored, &stored->source_len);
+      stored->routes = read_bytes (&in, stored, &stored->routes_len);
+      if (in.ok)
+        return stored;
+      g_set_error (error, HS_ERROR, HS_ERROR_MALFORMED,
+                   "not a stored configuration");
+    }
+  talloc_free (stored);
+  return NULL;
+}
+
+/* Private definitions.  */
+
+static uint8_t *
+take_buffer (void *parent, msgpack_sbuffer *buffer, size_t *len)
+{
+  uint8_t *data = talloc_memdup (parent, buffer->data, buffer->size);
+
+  *len = buffer->size;
+  msgpack_sbuffer_destroy (buffer);
+  return data;
+}
+
+static void
+pack_host (msgpack_packer *out, const struct hs_control_host *host)
+{
+  msgpack_pack_uint64 (out, host->id);
+  hs_pack_addr (out, &host->inner);
+  hs_pack_addr (out, &host->api);
+}
+
+static void
+pack_members (msgpack_packer *out, const struct hs_members *members)
+{
+  msgpack_pack_array (out, members->len * HOST_FIELDS);
+  for (size_t i = 0; i < members->len; i++)
+    pack_host (out, &members->hosts[i]);
+}
+
+static void
+pack_entry (msgpack_packer *out, const struct hs_log_entry *entry)
+{
+  msgpack_pack_array (out, ENTRY_FIELDS);
+  msgpack_pack_uint64 (out, entry->index);
+  msgpack_pack_uint64 (out, entry->term);
+  msgpack_pack_uint8 (out, (uint8_t)entry->kind);
+  pack_members (out, &entry->members);
+  pack_bytes (out, entry->data, entry->len);
+}
+
+static void
+pack_base (msgpack_packer *out, const struct hs_log_base *base)
+{
+  msgpack_pack_uint64 (out, base->index);
+  msgpack_pack_uint64 (out, base->term);
+  pack_members (out, &base->members);
+  pack_bytes (out, base->data, base->len);
+}
+
+static void
+pack_bytes (msgpack_packer *out, const uint8_t *data, size_t len)
+{
+  msgpack_pack_bin (out, len);
+  msgpack_pack_bin_body (out, data, len);
+}
+
+static void
+read_host (struct hs_unpack *in, struct hs_control_host *host)
+{
+  host->id = hs_unpack_uint (in, UINT64_MAX);
+  hs_unpack_addr (in, &host->inner);
+  hs_unpack_addr (in, &host->api);
+}
+
+static void
+read_members (struct hs_unpack *in, struct hs_members *members)
+{
+  uint32_t len;
+  struct hs_unpack inner
+      = hs_unpack_array (in, &len, HS_GROUP_MAX * HOST_FIELDS);
+
+  members->len = len / HOST_FIELDS;
+  for (size_t i = 0; i < members->len; i++)
+    read_host (&inner, &members->hosts[i]);
+  in->ok = in->ok && inner.ok;
+}
+
+static struct hs_log_entry *
+read_entry (struct hs_unpack *in, void *parent)
+{
+  struct hs_log_entry *entry = talloc_zero (parent, struct hs_log_entry);
+  uint32_t len;
+  struct hs_unpack inner = hs_unpack_array (in, &len, ENTRY_FIELDS);
+
+  entry->index = hs_unpack_uint (&inner, UINT64_MAX);
+  entry->term = hs_unpack_uint (&inner, UINT64_MAX);
+  entry->kind = (enum hs_log_kind)hs_unpack_uint (&inner, HS_LOG_MEMBERS);
+  read_members (&inner, &entry->members);
+  entry->data = read_bytes (&inner, entry, &entry->len);
+  in->ok = in->ok && inner.ok;
+  return entry;
+}
+
+static struct hs_log_base *
+read_base (struct hs_unpack *in, void *parent)
+{
+  struct hs_log_base *base = talloc_zero (parent, struct hs_log_base);
+  uint32_t len;
+  struct hs_unpack inner = hs_unpack_array (in, &len, BASE_FIELDS);
+
+  base->index = hs_unpack_uint (&inner, UINT64_MAX);
+  base->term = hs_unpack_uint (&inner, UINT64_MAX);
+  read_members (&inner, &base->members);
+  base->data = read_bytes (&inner, base, &base->len);
+  in->ok = in->ok && inner.ok;
+  return base;
+}
+
+static uint8_t *
+read_bytes (struct hs_unpack *in, void *parent, size_t *len)
+{
+  uint8_t *bytes = talloc_array (parent, uint8_t, HS_REPLICA_MESSAGE_MAX);
+
+  *len = hs_unpack_bin (in, bytes, HS_REPLICA_MESSAGE_MAX);
+  return talloc_realloc (parent, bytes, uint8_t, *len + 1);
+}
+
+static void
+read_entries (struct hs_unpack *in, struct hs_replica_message *message)
+{
+  uint32_t len;
+  struct hs_unpack inner = hs_unpack_array (in, &len, HS_APPEND_MAX);
+
+  message->entries_len = len;
+  for (uint32_t i = 0; i < len; i++)
+    message->entries[i] = read_entry (&inner, message);
+  in->ok = in->ok && inner.ok;
+}
+
+static bool
+open_array (msgpack_unpacked *unpacked, const uint8_t *data, size_t len,
+            struct hs_unpack *in, GError **error)
+{
+  size_t used = 0;
+
+  if (hs_unpack_measure (data, len) == len && len > 0
+      && msgpack_unpack_next (unpacked, (const char *)data, len, &used)
+             == MSGPACK_UNPACK_SUCCESS
+      && unpacked->data.type == MSGPACK_OBJECT_ARRAY)
+    {
+      *in = (struct hs_unpack){ &unpacked->data.via.array, 0, true };
+      return true;
+    }
+  g_set_error (error, HS_ERROR, HS_ERROR_MALFORMED, "not a MessagePack array");
+  return false;
+}
--- a/src/wire/unpack.c
+++ b/src/wire/unpack.c
@@ -118,6 +118,22 @@
   text[len] = '\0';
 }
 
+size_t
+hs_unpack_bin (struct hs_unpack *in, uint8_t *bytes, size_t max)
+{
+  const msgpack_object *object = next (in, MSGPACK_OBJECT_BIN);
+
+  if (object == NULL)
+    return 0;
+  if (object->via.bin.size > max)
+    {
+      in->ok = false;
+      return 0;
+    }
+  memcpy (bytes, object->via.bin.ptr, object->via.bin.size);
+  return object->via.bin.size;
+}
+
 struct hs_unpack
 hs_unpack_array (struct hs_unpack *in, uint32_t *len, uint32_t max)
 {
--- a/src/wire/unpack.h
+++ b/src/wire/unpack.h
@@ -28,6 +28,8 @@
 uint64_t hs_unpack_uint (struct hs_unpack *in, uint64_t max);
 void hs_unpack_addr (struct hs_unpack *in, struct hs_addr *addr);
 void hs_unpack_text (struct hs_unpack *in, char *text, size_t size);
+size_t hs_unpack_bin (struct hs_unpack *in, uint8_t *bytes,
+                      size_t max); /* Its length.  */
 struct hs_unpack hs_unpack_array (struct hs_unpack *in, uint32_t *len,
                                   uint32_t max); /* Not OK: not an array.  */
 
