Keep the first group's ids on disk

Ruled out: lost syncs (the journals held all entries, but no id and no base).

Change: hs_replica_found takes the id; only what comes from disk counts as loaded, so that the first image is written.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -1094,8 +1094,9 @@
    to join a group later.  */
 void hs_replica_load (struct hs_replica *replica,
                       const struct hs_replica_record *record);
-void hs_replica_found (struct hs_replica *replica,
-                       const struct hs_members *members);
+void hs_replica_found (struct hs_replica *replica, uint64_t id,
+                       const struct hs_members *members); /* ID: of this
+                                                             host.  */
 void hs_replica_start (struct hs_replica *replica, uint64_t now);
 
 void hs_replica_tick (struct hs_replica *replica,
--- a/src/consensus/replica.c
+++ b/src/consensus/replica.c
@@ -84,8 +84,10 @@
 }
 
 void
-hs_replica_found (struct hs_replica *replica, const struct hs_members *members)
+hs_replica_found (struct hs_replica *replica, uint64_t id,
+                  const struct hs_members *members)
 {
+  replica->self.id = id;
   replica->base.members = *members;
 }
 
--- a/src/control/group.c
+++ b/src/control/group.c
@@ -349,7 +349,7 @@
 {
   struct hs_members members = { 0 };
   const struct hs_addrs *seeds = &group->settings.seeds;
-  struct hs_replica_record self = { .type = HS_REPLICA_RECORD_HOST };
+  uint64_t id = 0;
 
   if (!group->settings.bootstrap)
     return;
@@ -363,12 +363,11 @@
       hs_addr_format (&host->inner, text);
       host->id = hs_slot_from_name (text);
       if (hs_addr_equal (&host->inner, &group->settings.inner))
-        self.id = host->id;
+        id = host->id;
     }
-  if (self.id == 0)
+  if (id == 0)
     return;
-  hs_replica_load (group->replica, &self);
-  hs_replica_found (group->replica, &members);
+  hs_replica_found (group->replica, id, &members);
   hs_log_write (group->log, HS_LOG_INFO, "group-founded", "{s:i}", "hosts",
                 (int)members.len);
 }
