Reset flows that nobody holds; serve from disk before an election

Change: an agent that is asked denies a flow that its upstream does not hold; once every agent of a complete fleet has denied it, the entry resets it. An agent resets the flows of an earlier start of its upstream. The commit index is written with every sync, so that a host serves what it knows at once. The first election comes sooner, control hosts tell agents of a new entry.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -884,6 +884,9 @@
 
 struct hs_steering *hs_steering_create (void *parent, struct hs_fleet *fleet);
 void hs_steering_destroy (struct hs_steering *steering);
+void hs_steering_set_complete (struct hs_steering *steering,
+                               bool complete); /* Every agent that lives has
+                                          reported: false at first.  */
 void hs_steering_set_routing (struct hs_steering *steering,
                               const struct hs_routing *routing); /* Kept by
                                                          the caller.  */
@@ -897,6 +900,12 @@
 void hs_steering_held (struct hs_steering *steering,
                        const struct hs_segment_key *key, uint64_t slot,
                        uint64_t now);
+
+/* The agent SLOT does not hold the flow that it was asked for.  True: nobody
+   does, and SEGMENT is one of its caller, to be answered by a reset.  */
+bool hs_steering_denied (struct hs_steering *steering,
+                         const struct hs_segment_key *key, uint64_t slot,
+                         struct hs_segment *segment);
 void hs_steering_expire (struct hs_steering *steering, uint64_t now);
 size_t hs_steering_flows (const struct hs_steering *steering);
 
@@ -934,13 +943,29 @@
   HS_SIDECAR_DROP
 };
 
+/* What to tell the entry that asked for the holder of a flow.  */
+enum hs_claim
+{
+  HS_CLAIM_NONE,
+  HS_CLAIM_HELD,
+  HS_CLAIM_DENIED /* The upstream does not hold it.  */
+};
+
 struct hs_sidecar_step
 {
   enum hs_sidecar_action action;
   enum hs_reason reason;
-  bool opened;          /* The flow is new here.  */
-  bool held;            /* Tell the entry that asked.  */
-  struct hs_addr entry; /* REFUSE: where the SYN came from.  */
+  bool opened; /* The flow is new here.  */
+  enum hs_claim claim;
+  struct hs_addr entry; /* REFUSE: where the SYN came from; else: for the
+                           claim.  */
+};
+
+struct hs_sidecar_ops
+{
+  /* The upstream has started anew and lost a flow; SEGMENT is one of its
+     caller, to be answered by a reset.  */
+  void (*lost) (void *ctx, const struct hs_segment *segment);
 };
 
 struct hs_sidecar;
@@ -948,7 +973,9 @@
 struct hs_sidecar *hs_sidecar_create (void *parent, const char *service,
                                       const struct hs_addr *upstream,
                                       uint64_t heartbeat_ms,
-                                      uint64_t wall_ms); /* Of its start.  */
+                                      uint64_t wall_ms, /* Of its start.  */
+                                      const struct hs_sidecar_ops *ops,
+                                      void *ctx);
 void hs_sidecar_destroy (struct hs_sidecar *sidecar);
 bool hs_sidecar_heartbeat (struct hs_sidecar *sidecar,
                            const struct hs_heartbeat *heartbeat, uint64_t now,
@@ -1054,13 +1081,14 @@
   HS_REPLICA_RECORD_HOST = 1, /* The id of this disk.  */
   HS_REPLICA_RECORD_TERM,     /* Term and vote.  */
   HS_REPLICA_RECORD_ENTRY,    /* Takes the place of those from its index on. */
-  HS_REPLICA_RECORD_BASE      /* Takes the place of the whole log.  */
+  HS_REPLICA_RECORD_BASE,     /* Takes the place of the whole log.  */
+  HS_REPLICA_RECORD_COMMIT    /* What was committed when it was written.  */
 };
 
 struct hs_replica_record
 {
   enum hs_replica_record_type type;
-  uint64_t id;   /* HOST  */
+  uint64_t id;   /* HOST; COMMIT: index.  */
   uint64_t term; /* TERM  */
   uint64_t vote; /* TERM: id; 0: none.  */
   const struct hs_log_entry *entry;
--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -96,8 +96,10 @@
 static void reset_caller (struct hs_segment_agent *agent,
                           struct hs_packet *packet,
                           const struct hs_segment *segment);
-static void tell_held (struct hs_segment_agent *agent,
-                       struct hs_segment_key key, const struct hs_addr *entry);
+static void tell_claim (struct hs_segment_agent *agent,
+                        struct hs_segment_key key,
+                        const struct hs_sidecar_step *step);
+static void on_flow_lost (void *ctx, const struct hs_segment *segment);
 static void log_step (struct hs_segment_agent *agent,
                       const struct hs_segment *segment,
                       const struct hs_sidecar_step *step);
@@ -212,6 +214,7 @@
                                      .dialect = settings->dialect };
   struct hs_front_ops ops
       = { on_packet, on_inner, on_configuration, on_tick, on_drain };
+  struct hs_sidecar_ops sidecar_ops = { on_flow_lost };
   struct hs_duty *decide;
 
   agent->front = hs_front_create (agent, &front, &ops, agent, agent->counters,
@@ -219,9 +222,9 @@
   if (agent->front == NULL)
     return false;
   decide = agent->front->path->decide;
-  agent->sidecar
-      = hs_sidecar_create (decide, settings->service, &settings->upstream,
-                           settings->heartbeat_ms, hs_clock_wall ());
+  agent->sidecar = hs_sidecar_create (
+      decide, settings->service, &settings->upstream, settings->heartbeat_ms,
+      hs_clock_wall (), &sidecar_ops, agent);
   hs_duty_watch_ring (decide, agent->calls, on_call, agent);
   hs_receiver_watch (agent->front->path->receiver, agent->outbound_fd,
                      TAG_UPSTREAM);
@@ -434,10 +437,10 @@
 {
   packet->fd = -1;
   log_step (agent, segment, step);
-  if (step->held && step->action == HS_SIDECAR_ANSWER)
-    tell_held (agent, hs_segment_key (segment, false), &step->entry);
-  else if (step->held)
-    tell_held (agent, hs_segment_key (segment, true), &step->entry);
+  if (step->claim != HS_CLAIM_NONE)
+    tell_claim (agent,
+                hs_segment_key (segment, step->action != HS_SIDECAR_ANSWER),
+                step);
   switch (step->action)
     {
     case HS_SIDECAR_DELIVER:
@@ -490,15 +493,31 @@
 }
 
 static void
-tell_held (struct hs_segment_agent *agent, struct hs_segment_key key,
-           const struct hs_addr *entry)
+tell_claim (struct hs_segment_agent *agent, struct hs_segment_key key,
+            const struct hs_sidecar_step *step)
 {
   struct hs_inner inner = { .type = HS_INNER_HELD };
 
   inner.held.slot = agent->front->slot;
+  inner.held.held = step->claim == HS_CLAIM_HELD;
   inner.held.key = key;
-  hs_front_send (agent->front, entry, &inner);
-  hs_counter_add (agent->counts.held, 1);
+  hs_front_send (agent->front, &step->entry, &inner);
+  if (inner.held.held)
+    hs_counter_add (agent->counts.held, 1);
+}
+
+static void
+on_flow_lost (void *ctx, const struct hs_segment *segment)
+{
+  struct hs_segment_agent *agent = ctx;
+  struct hs_sidecar_step lost
+      = { .action = HS_SIDECAR_RESET, .reason = HS_REASON_NO_UPSTREAM };
+  struct hs_packet *packet = hs_outbox_add (agent->front->outbox);
+
+  if (packet == NULL)
+    return;
+  log_step (agent, segment, &lost);
+  reset_caller (agent, packet, segment);
 }
 
 static void
@@ -510,12 +529,13 @@
   const char *event = step->action == HS_SIDECAR_REFUSE  ? "syn-refused"
                       : step->action == HS_SIDECAR_RESET ? "flow-reset"
                       : step->action == HS_SIDECAR_DROP  ? "segment-dropped"
-                      : step->held                       ? "flow-claimed"
+                      : step->claim == HS_CLAIM_HELD     ? "flow-claimed"
                                                          : "flow-opened";
 
-  if (step->action == HS_SIDECAR_DELIVER && !step->opened && !step->held)
+  if (step->action == HS_SIDECAR_DELIVER && !step->opened
+      && step->claim == HS_CLAIM_NONE)
     return;
-  if (step->action == HS_SIDECAR_ANSWER && !step->held)
+  if (step->action == HS_SIDECAR_ANSWER && step->claim == HS_CLAIM_NONE)
     return;
   hs_addr_format (&segment->from, from);
   hs_addr_format (&segment->to, to);
--- a/src/consensus/replica.c
+++ b/src/consensus/replica.c
@@ -79,6 +79,9 @@
     case HS_REPLICA_RECORD_BASE:
       hs_replica_log_reset (replica, record->base);
       break;
+    case HS_REPLICA_RECORD_COMMIT:
+      replica->commit_loaded = record->id;
+      break;
     }
   replica->loaded = true;
 }
@@ -99,8 +102,13 @@
   replica->applied = replica->base.index;
   if (replica->base.len > 0)
     replica->ops.restore (replica->ctx, replica->base.data, replica->base.len);
+  hs_replica_log_commit (replica,
+                         replica->commit_loaded < hs_replica_last (replica)
+                             ? replica->commit_loaded
+                             : hs_replica_last (replica));
   replica->durable = hs_replica_last (replica);
-  rearm_election (replica, now);
+  replica->election_due
+      = now + ELECTION_FIRST_MS + next_random (replica) % ELECTION_SPREAD_MS;
   replica->ticked_at = now;
   if (!replica->loaded)
     hs_replica_image (replica);
@@ -198,6 +206,7 @@
   struct hs_replica_record base
       = { .type = HS_REPLICA_RECORD_BASE, .base = &replica->base };
 
+  replica->commit_written = 0;
   replica->ops.write (replica->ctx, &host);
   replica->ops.write (replica->ctx, &term);
   replica->ops.write (replica->ctx, &base);
@@ -308,7 +317,14 @@
 hs_replica_sync (struct hs_replica *replica)
 {
   struct sync_mark *mark = talloc_zero (replica, struct sync_mark);
-
+  struct hs_replica_record commit
+      = { .type = HS_REPLICA_RECORD_COMMIT, .id = replica->commit };
+
+  /* It costs no sync of its own, and a host that starts can serve what it
+     knows before a leader is found.  */
+  if (replica->commit_written != replica->commit)
+    replica->ops.write (replica->ctx, &commit);
+  replica->commit_written = replica->commit;
   mark->seq = ++replica->sync_seq;
   mark->index = hs_replica_last (replica);
   hs_list_append (&replica->writes, &mark->link);
--- a/src/consensus/replica_state.h
+++ b/src/consensus/replica_state.h
@@ -11,6 +11,7 @@
 #define HEARTBEAT_MS 250
 #define ELECTION_MIN_MS 900
 #define ELECTION_SPREAD_MS 700
+#define ELECTION_FIRST_MS 350 /* After a start: longer than a heartbeat.  */
 #define QUORUM_MS                                                             \
   1200                /* Silence of a majority after which a leader yields.   \
                        */
@@ -78,6 +79,8 @@
   struct hs_list log; /* struct hs_log_entry, after the base.  */
   struct hs_members members;
   uint64_t commit;
+  uint64_t commit_written; /* The latest on its way to disk.  */
+  uint64_t commit_loaded;  /* From disk.  */
   uint64_t applied;
 
   enum role role;
--- a/src/control/group.c
+++ b/src/control/group.c
@@ -96,7 +96,8 @@
   bool led;
   uint64_t proposed; /* Version of the newest configuration in the log.  */
   struct hs_stored_configuration *stored; /* In force; NULL: none.  */
-  uint64_t told; /* Version that the nodes were told of.  */
+  uint64_t told;    /* Version that the nodes were told of.  */
+  bool entry_heard; /* One that the agents do not know yet.  */
 };
 
 /* Private functions.  */
@@ -139,6 +140,7 @@
 static void answer_show (struct hs_group *group, struct hs_group_call *call);
 static void tell_nodes (struct hs_group *group);
 static void tell_entry (void *ctx, const struct hs_inner_sync *node);
+static void tell_agent (void *ctx, const struct hs_inner_sync *node);
 static void fill_status (struct hs_group *group,
                          struct hs_inner_status *status);
 static void send_inner (struct hs_group *group, const struct hs_addr *to,
@@ -449,9 +451,12 @@
 
   hs_counter_add (group->counts.syncs, 1);
   if (hs_roster_note (group->roster, sync, now))
-    hs_log_write (group->log, HS_LOG_INFO, "node-heard", "{s:s, s:s, s:I}",
-                  "name", sync->name, "zone", sync->zone, "version",
-                  (json_int_t)sync->version);
+    {
+      hs_log_write (group->log, HS_LOG_INFO, "node-heard", "{s:s, s:s, s:I}",
+                    "name", sync->name, "zone", sync->zone, "version",
+                    (json_int_t)sync->version);
+      group->entry_heard = group->entry_heard || sync->role == HS_ROLE_ENTRY;
+    }
   fill_status (group, &answer.status);
   if (answer.status.roster != sync->roster)
     {
@@ -709,11 +714,15 @@
   hs_group_answer_body (call, (const char *)source);
 }
 
-/* Entries hear of news from the leader at once, once for all that was
-   accepted in a run, and from any host in answer to their heartbeats.  */
+/* Entries hear of a new configuration from the leader at once, once for all
+   that was accepted in a run, and agents of a new entry from every host; both
+   hear again in answer to their heartbeats.  */
 static void
 tell_nodes (struct hs_group *group)
 {
+  if (group->entry_heard)
+    hs_roster_each (group->roster, HS_ROLE_AGENT, tell_agent, group);
+  group->entry_heard = false;
   if (group->stored == NULL || group->told == group->stored->version)
     return;
   group->told = group->stored->version;
@@ -731,6 +740,18 @@
   send_inner (group, &node->address, &news);
 }
 
+static void
+tell_agent (void *ctx, const struct hs_inner_sync *node)
+{
+  struct hs_group *group = ctx;
+  struct hs_inner news = { .type = HS_INNER_STATUS };
+
+  fill_status (group, &news.status);
+  news.status.has_entries = true;
+  hs_roster_entries (group->roster, &news.status.entries);
+  send_inner (group, &node->address, &news);
+}
+
 static void
 fill_status (struct hs_group *group, struct hs_inner_status *status)
 {
--- a/src/daemon/follower.c
+++ b/src/daemon/follower.c
@@ -7,8 +7,13 @@
 
 /* Types.  */
 
-/* Control hosts told in a tick: five are told within 1.25 s.  */
-#define ASKED_A_TICK 2
+/* Control hosts told in a round: five are told within 1.25 s.  */
+#define ASKED_A_ROUND 2
+#define ROUND_MS 500
+
+/* The same, until what is needed to serve is known.  */
+#define ASKED_AT_FIRST 3
+#define FIRST_ROUND_MS 200
 
 /* Parts asked for before the first of them has come.  */
 #define FETCH_AHEAD 8
@@ -50,7 +55,8 @@
   struct hs_addr seeds[HS_SETTINGS_ADDRS_MAX];
   struct hs_inner_addrs controls; /* Learned.  */
   size_t turn;
-  uint64_t heard_at; /* ms of an answer; 0: never.  */
+  uint64_t round_due; /* ms  */
+  uint64_t heard_at;  /* ms of an answer; 0: never.  */
   bool lost;
   size_t listed_len;
   struct listed_entry listed[HS_INNER_ADDRS_MAX];
@@ -60,6 +66,7 @@
 
 /* Private functions.  */
 
+static bool is_starting (const struct hs_follower *follower);
 static void ask_next (struct hs_follower *follower);
 static size_t collect_contacts (const struct hs_follower *follower,
                                 struct hs_addr *contacts);
@@ -129,7 +136,12 @@
 {
   bool lost = follower->heard_at != 0 && now - follower->heard_at > LOST_MS;
 
-  for (size_t i = 0; i < ASKED_A_TICK; i++)
+  if (now < follower->round_due)
+    return;
+  follower->round_due
+      = now + (is_starting (follower) ? FIRST_ROUND_MS : ROUND_MS);
+  for (size_t i = 0;
+       i < (is_starting (follower) ? ASKED_AT_FIRST : ASKED_A_ROUND); i++)
     ask_next (follower);
   if (follower->fetch.version != 0)
     ask_missing (follower);
@@ -157,6 +169,13 @@
 
 /* Private definitions.  */
 
+static bool
+is_starting (const struct hs_follower *follower)
+{
+  return follower->self.role == HS_ROLE_ENTRY ? follower->self.version == 0
+                                              : follower->listed_len == 0;
+}
+
 static void
 ask_next (struct hs_follower *follower)
 {
--- a/src/daemon/follower.h
+++ b/src/daemon/follower.h
@@ -10,8 +10,6 @@
 #include "base/settings.h"
 #include "wire/inner.h"
 
-#define HS_FOLLOWER_TICK_MS 500
-
 struct hs_follower;
 
 struct hs_follower_ops
@@ -34,7 +32,8 @@
 void hs_follower_receive (struct hs_follower *follower,
                           const struct hs_addr *from,
                           const struct hs_inner *inner, uint64_t now);
-void hs_follower_tick (struct hs_follower *follower, uint64_t now);
+void hs_follower_tick (struct hs_follower *follower,
+                       uint64_t now); /* Every 100 ms.  */
 void hs_follower_set_version (struct hs_follower *follower,
                               uint64_t version); /* In force here.  */
 const struct hs_inner_addrs *
--- a/src/daemon/front.c
+++ b/src/daemon/front.c
@@ -25,7 +25,7 @@
 static void on_drain (void *ctx);
 static void after_items (void *ctx);
 static void on_tick (void *ctx, uint64_t now);
-static void on_follow (void *ctx, uint64_t now);
+
 static void on_follower_send (void *ctx, const struct hs_addr *to,
                               const struct hs_inner *inner);
 static void on_configuration (void *ctx, const uint8_t *bytes, size_t len);
@@ -210,9 +210,9 @@
 
   front->timers = hs_timers_create (decide, now);
   hs_timer_init (&front->tick, on_tick, front);
-  hs_timer_init (&front->follow, on_follow, front);
+
   hs_timer_start (front->timers, &front->tick, now);
-  hs_timer_start (front->timers, &front->follow, now);
+
   hs_duty_watch_ring (decide, front->path->received, on_batch, front);
   hs_duty_watch_ring (decide, front->path->commands, on_command, front);
   hs_duty_watch_ring (decide, front->seeds, on_seeds, front);
@@ -303,20 +303,12 @@
 {
   struct hs_front *front = ctx;
 
+  hs_follower_tick (front->follower, now);
   front->ops.tick (front->ctx, now);
   hs_counter_set (front->log_dropped, hs_log_dropped (front->log));
   hs_timer_start (front->timers, &front->tick, now + HS_FRONT_TICK_MS);
 }
 
-static void
-on_follow (void *ctx, uint64_t now)
-{
-  struct hs_front *front = ctx;
-
-  hs_follower_tick (front->follower, now);
-  hs_timer_start (front->timers, &front->follow, now + HS_FOLLOWER_TICK_MS);
-}
-
 static void
 on_follower_send (void *ctx, const struct hs_addr *to,
                   const struct hs_inner *inner)
--- a/src/daemon/front.h
+++ b/src/daemon/front.h
@@ -58,7 +58,7 @@
   /* Of the decide thread alone.  */
   struct hs_timers *timers;
   struct hs_timer tick;
-  struct hs_timer follow;
+
   struct hs_follower *follower;
 };
 
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -17,8 +17,12 @@
 #define BATCHES 16
 #define TAG_SEGMENTS 1
 
-/* After a start, for the agents to have heard of this entry.  */
-#define SETTLE_MS 1500
+/* After a start, for all agents to have heard of this entry: a round of the
+   control hosts by both, and a report.  */
+#define COMPLETE_MS 2000
+
+/* The same, for the first of them.  */
+#define SETTLE_MS 300
 
 /* A stop waits until callers' segments have ceased for this long, ...  */
 #define DRAIN_QUIET_MS 700
@@ -70,6 +74,8 @@
 static void on_refused (struct hs_segment_entry *entry,
                         struct hs_packet *packet,
                         const struct hs_inner_header *header, uint64_t now);
+static void on_claim (struct hs_segment_entry *entry,
+                      const struct hs_inner_held *claim, uint64_t now);
 static void on_report (struct hs_segment_entry *entry,
                        const struct hs_load_report *report, uint64_t now);
 static void on_configuration (void *ctx, const uint8_t *bytes, size_t len);
@@ -182,8 +188,9 @@
                                     "Flows that an agent said it holds.");
   counts->refused = hs_counter_create (all, "syns_refused_total",
                                        "SYNs that an agent gave back.");
-  counts->resets
-      = hs_counter_create (all, "resets_total", "SYNs answered by a reset.");
+  counts->resets = hs_counter_create (all, "resets_total",
+                                      "Callers told that a flow is not "
+                                      "open.");
   counts->dropped = hs_counter_create (all, "segments_dropped_total",
                                        "Segments that nobody takes.");
   counts->reports = hs_counter_create (all, "load_reports_total",
@@ -223,11 +230,31 @@
   else if (inner->type == HS_INNER_REPORT)
     on_report (entry, &inner->report, now);
   else if (inner->type == HS_INNER_HELD)
+    on_claim (entry, &inner->held, now);
+}
+
+static void
+on_claim (struct hs_segment_entry *entry, const struct hs_inner_held *claim,
+          uint64_t now)
+{
+  struct hs_steer steer
+      = { .kind = HS_STEER_RESET, .reason = HS_REASON_WRONG_HOST };
+  struct hs_segment segment;
+  struct hs_packet *packet;
+
+  if (claim->held)
     {
       hs_counter_add (entry->counts.held, 1);
-      hs_steering_held (entry->steering, &inner->held.key, inner->held.slot,
-                        now);
+      hs_steering_held (entry->steering, &claim->key, claim->slot, now);
+      return;
     }
+  if (!hs_steering_denied (entry->steering, &claim->key, claim->slot,
+                           &segment))
+    return;
+  log_steer (entry, &segment, &steer, now);
+  packet = hs_outbox_add (entry->front->outbox);
+  if (packet != NULL)
+    reset (entry, packet, &segment);
 }
 
 static void
@@ -308,6 +335,8 @@
   hs_steering_expire (entry->steering, now);
   hs_fleet_expire (entry->fleet, now);
   hs_counter_set (entry->counts.flows, hs_steering_flows (entry->steering));
+  hs_steering_set_complete (entry->steering,
+                            now - entry->started_at >= COMPLETE_MS);
   update_ready (entry, now);
   if (entry->draining_since == 0 || now - entry->draining_since < DRAIN_MIN_MS)
     return;
--- a/src/segment/flow_table.c
+++ b/src/segment/flow_table.c
@@ -100,6 +100,13 @@
     hs_flow_table_remove (table, oldest (table));
 }
 
+void
+hs_flow_table_each (struct hs_flow_table *table, hs_flow_gone *fn, void *ctx)
+{
+  HS_LIST_FOREACH (link, &table->ages)
+    fn (ctx, HS_LIST_ENTRY (link, struct hs_segment_flow, age));
+}
+
 void
 hs_flow_table_clear (struct hs_flow_table *table)
 {
--- a/src/segment/flow_table.h
+++ b/src/segment/flow_table.h
@@ -37,6 +37,8 @@
                            struct hs_segment_flow *flow);
 void hs_flow_table_expire (struct hs_flow_table *table, uint64_t idle_ms,
                            uint64_t now);
+void hs_flow_table_each (struct hs_flow_table *table, hs_flow_gone *fn,
+                         void *ctx); /* FN removes none.  */
 void hs_flow_table_clear (struct hs_flow_table *table);
 size_t hs_flow_table_len (const struct hs_flow_table *table);
 
--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -51,9 +51,10 @@
   uint32_t syn_seq;
   uint32_t upstream_seq; /* Of the SYN+ACK.  */
   bool has_upstream_seq;
-  bool asked;   /* PROBED: an entry wants to know.  */
-  bool busy;    /* A request is in progress.  */
-  bool is_open; /* Counted as an open flow.  */
+  uint32_t caller_ack; /* The latest of the caller.  */
+  bool asked;          /* PROBED: an entry wants to know.  */
+  bool busy;           /* A request is in progress.  */
+  bool is_open;        /* Counted as an open flow.  */
   bool caller_closed;
   bool upstream_closed;
 };
@@ -65,6 +66,8 @@
   struct hs_addr upstream;
   uint64_t heartbeat_ms;
   uint64_t started_wall; /* ms  */
+  struct hs_sidecar_ops ops;
+  void *ctx;
   struct hs_flow_table *flows;
   bool leaving;
 
@@ -98,8 +101,13 @@
 static struct hs_sidecar_step take_returned (struct hs_sidecar *sidecar,
                                              const struct hs_segment *segment,
                                              uint64_t now);
+static struct hs_sidecar_step disown (struct hs_sidecar *sidecar,
+                                      struct flow *flow, uint64_t now);
+static struct hs_sidecar_step deny (const struct hs_addr *entry, bool ask);
 static struct hs_sidecar_step step (enum hs_sidecar_action action,
                                     enum hs_reason reason);
+static void lose_flows (struct hs_sidecar *sidecar);
+static void lose_flow (void *ctx, struct hs_segment_flow *base);
 static void begin_start (struct hs_sidecar *sidecar,
                          const struct hs_heartbeat *heartbeat, uint64_t now);
 static void note_upstream (struct hs_sidecar *sidecar, struct flow *flow,
@@ -122,7 +130,8 @@
 struct hs_sidecar *
 hs_sidecar_create (void *parent, const char *service,
                    const struct hs_addr *upstream, uint64_t heartbeat_ms,
-                   uint64_t wall_ms)
+                   uint64_t wall_ms, const struct hs_sidecar_ops *ops,
+                   void *ctx)
 {
   struct hs_sidecar *sidecar = talloc_zero (parent, struct hs_sidecar);
 
@@ -131,6 +140,9 @@
   sidecar->upstream = *upstream;
   sidecar->heartbeat_ms = heartbeat_ms;
   sidecar->started_wall = wall_ms;
+  sidecar->learn_until = UINT64_MAX;
+  sidecar->ops = *ops;
+  sidecar->ctx = ctx;
   sidecar->flows
       = hs_flow_table_create (sidecar, sizeof (struct flow),
                               HS_SIDECAR_FLOWS_MAX, on_flow_gone, sidecar);
@@ -206,7 +218,7 @@
     return take_unknown (sidecar, segment, entry, ask, now);
   if (flow->state == FLOW_NOT_HELD
       && now - flow->base.active_at <= NOT_HELD_MS)
-    return step (HS_SIDECAR_DROP, HS_REASON_WRONG_HOST);
+    return deny (entry, ask);
   hs_flow_table_touch (sidecar->flows, &flow->base, now);
   return take_known (sidecar, flow, segment, entry, ask);
 }
@@ -226,11 +238,14 @@
   flow = hs_flow_table_find (sidecar->flows, &key);
   if (flow == NULL && sidecar->learn_until == 0)
     return answer;
+  if (flow != NULL && (segment->flags & HS_SEGMENT_RST) != 0
+      && (flow->state == FLOW_PROBED || flow->state == FLOW_NOT_HELD))
+    return disown (sidecar, flow, now);
   flow = get_flow (sidecar, &key, now);
   if (flow->state != FLOW_OPEN || !flow->is_open)
     {
       answer.opened = true;
-      answer.held = flow->asked;
+      answer.claim = flow->asked ? HS_CLAIM_HELD : HS_CLAIM_NONE;
       answer.entry = flow->entry;
       flow->asked = false;
       flow->state = FLOW_OPEN;
@@ -316,9 +331,10 @@
   struct hs_segment_key key = hs_segment_key (segment, true);
   struct flow *flow;
 
+  if (sidecar->learn_until == 0 && ask)
+    return deny (entry, ask);
   if (sidecar->learn_until == 0)
-    return step (ask ? HS_SIDECAR_DROP : HS_SIDECAR_DELIVER,
-                 HS_REASON_WRONG_HOST);
+    return step (HS_SIDECAR_DELIVER, HS_REASON_NONE);
   flow = get_flow (sidecar, &key, now);
   flow->state = FLOW_PROBED;
   flow->asked = ask;
@@ -336,15 +352,17 @@
   struct hs_sidecar_step deliver = step (HS_SIDECAR_DELIVER, HS_REASON_NONE);
 
   if (ask && is_of_another (flow, segment))
-    return step (HS_SIDECAR_DROP, HS_REASON_WRONG_HOST);
+    return deny (entry, ask);
   if (flow->state == FLOW_NOT_HELD)
     flow->state = FLOW_PROBED;
   flow->entry = *entry;
   if (flow->state == FLOW_PROBED)
     flow->asked = flow->asked || ask;
   else
-    deliver.held = ask;
+    deliver.claim = ask ? HS_CLAIM_HELD : HS_CLAIM_NONE;
   deliver.entry = *entry;
+  if ((segment->flags & HS_SEGMENT_ACK) != 0)
+    flow->caller_ack = segment->ack;
   if (segment->len > 0)
     set_busy (sidecar, flow, true);
   note_end (sidecar, flow, segment);
@@ -360,6 +378,7 @@
   struct hs_segment_key key = hs_segment_key (segment, true);
   struct flow *flow = hs_flow_table_find (sidecar->flows, &key);
   struct hs_sidecar_step refuse = step (HS_SIDECAR_REFUSE, HS_REASON_SHED);
+  struct hs_sidecar_step gone;
   bool was_open;
 
   if (flow == NULL)
@@ -371,14 +390,37 @@
       return refuse;
     }
   was_open = flow->state == FLOW_OPEN;
+  gone = disown (sidecar, flow, now);
+  /* It was open at this upstream and is there no more: only the caller does
+     not know yet.  */
+  if (was_open)
+    gone.action = HS_SIDECAR_RESET;
+  return gone;
+}
+
+/* The upstream does not hold FLOW.  A reset of an upstream that was only
+   tried is none of the flow's: another one may hold it.  */
+static struct hs_sidecar_step
+disown (struct hs_sidecar *sidecar, struct flow *flow, uint64_t now)
+{
+  struct hs_sidecar_step gone = deny (&flow->entry, flow->asked);
+
+  flow->asked = false;
   set_busy (sidecar, flow, false);
   set_open (sidecar, flow, false);
   hs_flow_table_touch (sidecar->flows, &flow->base, now);
   flow->state = FLOW_NOT_HELD;
-  /* It was open at this upstream and is there no more: only the caller does
-     not know yet.  */
-  return step (was_open ? HS_SIDECAR_RESET : HS_SIDECAR_DROP,
-               HS_REASON_WRONG_HOST);
+  return gone;
+}
+
+static struct hs_sidecar_step
+deny (const struct hs_addr *entry, bool ask)
+{
+  struct hs_sidecar_step drop = step (HS_SIDECAR_DROP, HS_REASON_WRONG_HOST);
+
+  drop.claim = ask ? HS_CLAIM_DENIED : HS_CLAIM_NONE;
+  drop.entry = *entry;
+  return drop;
 }
 
 static struct hs_sidecar_step
@@ -397,11 +439,32 @@
   sidecar->state = HS_UPSTREAM_UNKNOWN;
   sidecar->learn_until = 0;
   if (!is_first)
-    hs_flow_table_clear (sidecar->flows);
+    lose_flows (sidecar);
   else if (heartbeat->born < sidecar->started_wall)
     sidecar->learn_until = now + LEARN_MS;
 }
 
+static void
+lose_flows (struct hs_sidecar *sidecar)
+{
+  hs_flow_table_each (sidecar->flows, lose_flow, sidecar);
+  hs_flow_table_clear (sidecar->flows);
+}
+
+static void
+lose_flow (void *ctx, struct hs_segment_flow *base)
+{
+  struct hs_sidecar *sidecar = ctx;
+  const struct flow *flow = (struct flow *)base;
+  struct hs_segment segment = { .from = base->key.caller,
+                                .to = base->key.address,
+                                .flags = HS_SEGMENT_ACK,
+                                .ack = flow->caller_ack };
+
+  if (flow->is_open)
+    sidecar->ops.lost (sidecar->ctx, &segment);
+}
+
 static void
 note_upstream (struct hs_sidecar *sidecar, struct flow *flow,
                const struct hs_segment *segment)
--- a/src/segment/steering.c
+++ b/src/segment/steering.c
@@ -27,12 +27,19 @@
   uint32_t syn_seq;
   size_t tried_len;
   uint64_t tried[HS_STEER_TRIES]; /* Slots that were offered the SYN.  */
+
+  /* Of a flow that was asked for.  */
+  uint32_t caller_ack;    /* The latest of the caller.  */
+  uint64_t asked_service; /* 0: any.  */
+  size_t denied_len;
+  uint64_t *denied; /* Slots of agents that do not hold it; a child.  */
 };
 
 struct hs_steering
 {
   struct hs_fleet *fleet;
   const struct hs_routing *routing; /* NULL: none yet.  */
+  bool complete; /* No agent that lives is missing in the fleet.  */
   struct hs_flow_table *flows;
 };
 
@@ -52,7 +59,11 @@
 static struct hs_steer to_tried (struct hs_steering *steering,
                                  const struct flow *flow);
 static struct hs_steer ask_all (struct hs_steering *steering,
+                                struct flow *flow,
                                 const struct hs_segment *segment);
+static bool is_denied_by (const struct flow *flow, uint64_t slot);
+static bool is_denied_by_all (const struct hs_steering *steering,
+                              const struct flow *flow);
 static struct hs_steer to_one (const struct hs_backend *backend, bool placed);
 static struct hs_steer without (enum hs_steer_kind kind,
                                 enum hs_reason reason);
@@ -79,6 +90,12 @@
   talloc_free (steering);
 }
 
+void
+hs_steering_set_complete (struct hs_steering *steering, bool complete)
+{
+  steering->complete = complete;
+}
+
 void
 hs_steering_set_routing (struct hs_steering *steering,
                          const struct hs_routing *routing)
@@ -97,7 +114,7 @@
     return steer_syn (steering, segment, now);
   flow = hs_flow_table_find (steering->flows, &key);
   if (flow == NULL)
-    return ask_all (steering, segment);
+    flow = get_flow (steering, &key, now);
   hs_flow_table_touch (steering->flows, &flow->base, now);
   if (flow->holder == 0 && flow->tried_len == 1)
     flow->holder = flow->tried[0];
@@ -106,7 +123,7 @@
     return to_holder (steering, flow);
   if (flow->holder == 0 && flow->tried_len > 1)
     return to_tried (steering, flow);
-  return ask_all (steering, segment);
+  return ask_all (steering, flow, segment);
 }
 
 struct hs_steer
@@ -142,6 +159,29 @@
   get_flow (steering, key, now)->holder = slot;
 }
 
+bool
+hs_steering_denied (struct hs_steering *steering,
+                    const struct hs_segment_key *key, uint64_t slot,
+                    struct hs_segment *segment)
+{
+  struct flow *flow = hs_flow_table_find (steering->flows, key);
+
+  if (flow == NULL || flow->holder != 0 || flow->tried_len > 0
+      || is_denied_by (flow, slot) || flow->denied_len == HS_STEER_MAX)
+    return false;
+  flow->denied
+      = talloc_realloc (flow, flow->denied, uint64_t, flow->denied_len + 1);
+  flow->denied[flow->denied_len++] = slot;
+  if (!steering->complete || !is_denied_by_all (steering, flow))
+    return false;
+  *segment = (struct hs_segment){ .from = key->caller,
+                                  .to = key->address,
+                                  .flags = HS_SEGMENT_ACK,
+                                  .ack = flow->caller_ack };
+  hs_flow_table_remove (steering->flows, &flow->base);
+  return true;
+}
+
 void
 hs_steering_expire (struct hs_steering *steering, uint64_t now)
 {
@@ -180,6 +220,7 @@
   flow->syn_seq = segment->seq;
   flow->holder = 0;
   flow->tried_len = 0;
+  flow->denied_len = 0;
   return place (steering, flow, now);
 }
 
@@ -243,7 +284,8 @@
 }
 
 static struct hs_steer
-ask_all (struct hs_steering *steering, const struct hs_segment *segment)
+ask_all (struct hs_steering *steering, struct flow *flow,
+         const struct hs_segment *segment)
 {
   const struct hs_routing_rule *rule
       = steering->routing != NULL
@@ -251,18 +293,43 @@
             : NULL;
   struct hs_steer steer = { .kind = HS_STEER_FORWARD, .ask = true };
 
-  /* A route may have been moved or dropped since the flow was opened.  */
-  if (rule == NULL || rule->splits_len > 1)
-    steer.len
-        = hs_fleet_of_service (steering->fleet, 0, steer.to, HS_STEER_MAX);
-  else
-    steer.len = hs_fleet_of_service (steering->fleet, rule->splits[0].service,
-                                     steer.to, HS_STEER_MAX);
+  /* The route may have been moved or dropped since the flow was opened.  */
+  flow->asked_service
+      = rule != NULL && rule->splits_len == 1 ? rule->splits[0].service : 0;
+  flow->holder = 0;
+  flow->tried_len = 0;
+  if ((segment->flags & HS_SEGMENT_ACK) != 0)
+    flow->caller_ack = segment->ack;
+  steer.len = hs_fleet_of_service (steering->fleet, flow->asked_service,
+                                   steer.to, HS_STEER_MAX);
   if (steer.len == 0)
     return without (HS_STEER_DROP, HS_REASON_NO_UPSTREAM);
   return steer;
 }
 
+static bool
+is_denied_by (const struct flow *flow, uint64_t slot)
+{
+  for (size_t i = 0; i < flow->denied_len; i++)
+    if (flow->denied[i] == slot)
+      return true;
+  return false;
+}
+
+/* An agent that is not heard of at present may hold the flow.  */
+static bool
+is_denied_by_all (const struct hs_steering *steering, const struct flow *flow)
+{
+  const struct hs_backend *backends[HS_STEER_MAX];
+  size_t len = hs_fleet_of_service (steering->fleet, flow->asked_service,
+                                    backends, HS_STEER_MAX);
+
+  for (size_t i = 0; i < len; i++)
+    if (!is_denied_by (flow, backends[i]->report.slot))
+      return false;
+  return len > 0 && len < HS_STEER_MAX;
+}
+
 static struct hs_steer
 to_one (const struct hs_backend *backend, bool placed)
 {
--- a/src/wire/inner.c
+++ b/src/wire/inner.c
@@ -14,7 +14,7 @@
 
 /* Elements of each type, with the type itself.  */
 static const uint8_t fields_of[HS_INNER_TYPES] = {
-  [HS_INNER_FORWARD] = 5, [HS_INNER_REFUSED] = 5, [HS_INNER_HELD] = 6,
+  [HS_INNER_FORWARD] = 5, [HS_INNER_REFUSED] = 5, [HS_INNER_HELD] = 7,
   [HS_INNER_REPORT] = 13, [HS_INNER_SYNC] = 10,   [HS_INNER_STATUS] = 6,
   [HS_INNER_FETCH] = 3,   [HS_INNER_PART] = 5,
 };
@@ -96,6 +96,7 @@
       break;
     case HS_INNER_HELD:
       msgpack_pack_uint64 (out, inner->held.slot);
+      msgpack_pack_uint8 (out, inner->held.held);
       hs_pack_addr (out, &inner->held.key.caller);
       hs_pack_addr (out, &inner->held.key.address);
       break;
@@ -188,6 +189,7 @@
       break;
     case HS_INNER_HELD:
       inner->held.slot = hs_unpack_uint (in, UINT64_MAX);
+      inner->held.held = hs_unpack_uint (in, 1) != 0;
       hs_unpack_addr (in, &inner->held.key.caller);
       hs_unpack_addr (in, &inner->held.key.address);
       break;
--- a/src/wire/inner.h
+++ b/src/wire/inner.h
@@ -20,7 +20,7 @@
   HS_INNER_NONE,    /* Not a message.  */
   HS_INNER_FORWARD, /* Entry to agent: a caller's segment.  */
   HS_INNER_REFUSED, /* Agent to entry: a SYN that has not run.  */
-  HS_INNER_HELD,    /* Agent to entry: it holds the flow.  */
+  HS_INNER_HELD,    /* Agent to entry: whether it holds the flow.  */
   HS_INNER_REPORT,  /* Agent to entry: its load.  */
   HS_INNER_SYNC,    /* Entry or agent to control: it is there.  */
   HS_INNER_STATUS,  /* The answer to it.  */
@@ -41,6 +41,7 @@
 struct hs_inner_held
 {
   uint64_t slot;
+  bool held;
   struct hs_segment_key key;
 };
 
--- a/src/wire/replica_message.c
+++ b/src/wire/replica_message.c
@@ -154,7 +154,7 @@
   if (open_array (&unpacked, data, len, &in, error))
     {
       record->type = (enum hs_replica_record_type)hs_unpack_uint (
-          &in, HS_REPLICA_RECORD_BASE);
+          &in, HS_REPLICA_RECORD_COMMIT);
       record->id = hs_unpack_uint (&in, UINT64_MAX);
       record->term = hs_unpack_uint (&in, UINT64_MAX);
       record->vote = hs_unpack_uint (&in, UINT64_MAX);
--- a/src/wire/replica_message.h
+++ b/src/wire/replica_message.h
@@ -6,8 +6,9 @@
 
 #include "hibiscusspan.h"
 
-#define HS_REPLICA_MESSAGE_MAX 65000 /* Bytes; a datagram's limit is 65507.   \
-                                      */
+#define HS_REPLICA_MESSAGE_MAX                                                \
+  65000 /* Bytes; a datagram's limit is 65507.                                \
+         */
 
 uint8_t *hs_replica_message_encode (void *parent,
                                     const struct hs_replica_message *message,
