Test segment flows and the control group under faults

Found: a power loss before the first image was whole left a host with an id and no group (power-all@5). The first image is now written as one file, which is there as a whole or not at all.

--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -88,7 +88,7 @@
 static void on_drain (void *ctx, uint64_t now);
 static void carry_out (struct hs_segment_agent *agent,
                        struct hs_packet *packet,
-                       const struct hs_segment *segment,
+                       const struct hs_segment *segment, bool from_caller,
                        const struct hs_sidecar_step *step, uint64_t service);
 static void refuse_syn (struct hs_segment_agent *agent,
                         struct hs_packet *packet,
@@ -355,7 +355,8 @@
   step = hs_sidecar_from_upstream (agent->sidecar, &segment, now);
   if ((segment.flags & HS_SEGMENT_RETURNED) != 0)
     dialect->restore_segment (dialect->ctx, hs_packet_bytes (packet));
-  carry_out (agent, packet, &segment, &step, 0);
+  carry_out (agent, packet, &segment,
+             (segment.flags & HS_SEGMENT_RETURNED) != 0, &step, 0);
 }
 
 static void
@@ -383,7 +384,7 @@
                                 inner->header.ask || !is_ours, now);
   if (step.action == HS_SIDECAR_REFUSE)
     step.entry = packet->peer;
-  carry_out (agent, packet, &segment, &step, inner->header.service);
+  carry_out (agent, packet, &segment, true, &step, inner->header.service);
 }
 
 /* Agents have no use for it.  */
@@ -432,15 +433,13 @@
 /* SERVICE is that which the entry named.  */
 static void
 carry_out (struct hs_segment_agent *agent, struct hs_packet *packet,
-           const struct hs_segment *segment,
+           const struct hs_segment *segment, bool from_caller,
            const struct hs_sidecar_step *step, uint64_t service)
 {
   packet->fd = -1;
   log_step (agent, segment, step);
   if (step->claim != HS_CLAIM_NONE)
-    tell_claim (agent,
-                hs_segment_key (segment, step->action != HS_SIDECAR_ANSWER),
-                step);
+    tell_claim (agent, hs_segment_key (segment, from_caller), step);
   switch (step->action)
     {
     case HS_SIDECAR_DELIVER:
--- a/src/control/group.c
+++ b/src/control/group.c
@@ -297,7 +297,9 @@
   if (group->journal == NULL)
     return false;
   group->disk = hs_log_disk_create (group->journal, group->jobs);
-  if (hs_journal_size (group->journal) == 0)
+  /* The first image is there as a whole, or not at all.  */
+  group->replaces = hs_journal_size (group->journal) == 0;
+  if (group->replaces)
     found_group (group);
   set_contacts (group, &group->settings.seeds);
   hs_replica_start (group->replica, hs_clock_now ());
--- /dev/null
+++ b/tests/test_replica.c
@@ -0,0 +1,165 @@
+/* test_replica.c -- the control group under faults: each fault at every step
+   of one seed, and pairs of faults at random steps of random seeds.
+
+   SAMPLE=N in the environment plays each Nth cell; CELL="SEED FAULT@STEP
+   FAULT@STEP" plays one again.  */
+
+#include "fakes/group.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Types.  */
+
+#define MATRIX_SEED 7
+#define MATRIX_STRIDE 5 /* Of the steps of the matrix.  */
+#define MATRIX_STEPS 900
+#define PAIRS 400
+#define PAIRS_SEED 1000
+#define CLEAN_SEEDS 20
+
+/* From the loss of a leader to the next acknowledgement: two seconds, and
+   the operators' way to find it.  */
+#define GAP_MAX_MS 3500
+
+/* Private functions.  */
+
+static unsigned int
+sample (void)
+{
+  const char *text = getenv ("SAMPLE");
+
+  return text != NULL ? (unsigned int)strtoul (text, NULL, 10) : 1;
+}
+
+static bool
+play (uint64_t seed, const struct group_fault_at *faults, size_t len)
+{
+  struct group_report report = group_play (seed, faults, len);
+
+  if (group_is_clean (&report))
+    return true;
+  printf ("# red: CELL=\"%llu", (unsigned long long)seed);
+  for (size_t i = 0; i < len; i++)
+    printf (" %s@%u", group_fault_name (faults[i].fault), faults[i].step);
+  printf ("\" two_leaders %u differing %u lost %u stale %u went_back %u "
+          "no_leader %u acknowledged %u\n",
+          report.two_leaders, report.differing, report.lost, report.stale,
+          report.went_back, report.no_leader, report.acknowledged);
+  return false;
+}
+
+static void
+test_calm (void)
+{
+  for (uint64_t seed = 1; seed <= CLEAN_SEEDS; seed++)
+    {
+      struct group_report report = group_play (seed, NULL, 0);
+
+      g_assert_true (group_is_clean (&report));
+      g_assert_cmpuint (report.reads, >, 0);
+    }
+}
+
+static void
+test_leader_lost (void)
+{
+  for (uint64_t seed = 1; seed <= CLEAN_SEEDS; seed++)
+    {
+      struct group_fault_at fault
+          = { GROUP_POWER, 300 + 7 * (unsigned int)seed };
+      struct group_report report = group_play (seed, &fault, 1);
+
+      g_assert_true (group_is_clean (&report));
+      g_assert_cmpuint (report.longest_gap_ms, <=, GAP_MAX_MS);
+    }
+}
+
+static void
+test_matrix (gconstpointer data)
+{
+  enum group_fault fault = (enum group_fault)GPOINTER_TO_INT (data);
+  unsigned int red = 0;
+
+  for (unsigned int step = 0; step < MATRIX_STEPS;
+       step += MATRIX_STRIDE * sample ())
+    {
+      struct group_fault_at at = { fault, step };
+
+      red += !play (MATRIX_SEED, &at, 1);
+    }
+  g_assert_cmpuint (red, ==, 0);
+}
+
+static void
+test_pairs (void)
+{
+  unsigned int red = 0;
+
+  for (unsigned int i = 0; i < PAIRS; i += sample ())
+    {
+      GRand *rand = g_rand_new_with_seed (PAIRS_SEED + i);
+      struct group_fault_at faults[2];
+
+      for (size_t k = 0; k < 2; k++)
+        {
+          faults[k].fault = (enum group_fault)g_rand_int_range (
+              rand, GROUP_KILL, GROUP_FAULTS);
+          faults[k].step
+              = (unsigned int)g_rand_int_range (rand, 0, MATRIX_STEPS);
+        }
+      g_rand_free (rand);
+      /* Two lost disks are more than the group is to bear.  */
+      if (faults[0].fault == GROUP_WIPE || faults[0].fault == GROUP_REPLACE)
+        if (faults[1].fault == GROUP_WIPE || faults[1].fault == GROUP_REPLACE)
+          faults[1].fault = GROUP_POWER_ALL;
+      red += !play (PAIRS_SEED + i, faults, 2);
+    }
+  g_assert_cmpuint (red, ==, 0);
+}
+
+static void
+test_cell (void)
+{
+  const char *text = getenv ("CELL");
+  g_auto (GStrv) words = g_strsplit (text != NULL ? text : "", " ", -1);
+  struct group_fault_at faults[4];
+  size_t len = 0;
+
+  if (words[0] == NULL)
+    return;
+  for (size_t i = 1; words[i] != NULL && len < G_N_ELEMENTS (faults); i++)
+    {
+      const char *at = strchr (words[i], '@');
+
+      g_assert_nonnull (at);
+      for (int fault = 0; fault < GROUP_FAULTS; fault++)
+        if (strncmp (words[i], group_fault_name ((enum group_fault)fault),
+                     (size_t)(at - words[i]))
+                == 0
+            && strlen (group_fault_name ((enum group_fault)fault))
+                   == (size_t)(at - words[i]))
+          faults[len].fault = (enum group_fault)fault;
+      faults[len++].step = (unsigned int)strtoul (at + 1, NULL, 10);
+    }
+  g_assert_true (play (strtoull (words[0], NULL, 10), faults, len));
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/replica/calm", test_calm);
+  g_test_add_func ("/replica/leader-lost", test_leader_lost);
+  for (int fault = GROUP_KILL; fault < GROUP_FAULTS; fault++)
+    {
+      g_autofree char *path = g_strdup_printf (
+          "/replica/matrix/%s", group_fault_name ((enum group_fault)fault));
+
+      g_test_add_data_func (path, GINT_TO_POINTER (fault), test_matrix);
+    }
+  g_test_add_func ("/replica/pairs", test_pairs);
+  g_test_add_func ("/replica/cell", test_cell);
+  return g_test_run ();
+}
--- /dev/null
+++ b/tests/test_segment.c
@@ -0,0 +1,939 @@
+/* test_segment.c -- routing, placing, steering and the sidecar of segment
+   flows, and the platform's form of them.  */
+
+#include "base/addr.h"
+#include "base/auto.h"
+#include "hibiscusspan.h"
+#include "platform/platform.h"
+
+#include <string.h>
+
+/* Types.  */
+
+#define HEAD_SIZE 32
+#define ALPHA "alpha"
+#define BETA "beta"
+
+static const char json_configuration[]
+    = "{\"version\":7,\"routes\":[{\"name\":\"r-1\",\"host\":\"198.18.0.1\","
+      "\"pathPrefix\":\"/8080/\",\"routeType\":\"non_idempotent\","
+      "\"timeoutMs\":2000,\"aimMs\":300,\"priority\":1,\"service\":\"alpha\"},"
+      "{\"name\":\"r-2\",\"host\":\"198.18.0.1\",\"pathPrefix\":\"/8443/\","
+      "\"routeType\":\"idempotent\",\"timeoutMs\":1500,\"aimMs\":250,"
+      "\"priority\":2,\"trafficSplit\":[{\"service\":\"alpha\",\"weight\":90},"
+      "{\"service\":\"beta\",\"weight\":10}]}],\"services\":[{\"name\":"
+      "\"alpha\"},{\"name\":\"beta\"}],\"limits\":{\"idleTimeoutMs\":12000}}";
+
+/* An entry's decisions before three agents.  */
+struct entry
+{
+  void *root;
+  struct hs_routing *routing;
+  struct hs_fleet *fleet;
+  struct hs_steering *steering;
+};
+
+struct lost
+{
+  size_t len;
+  struct hs_segment last;
+};
+
+/* Private functions.  */
+
+static struct hs_addr
+addr (const char *text)
+{
+  struct hs_addr address;
+
+  g_assert_true (hs_addr_parse (text, &address));
+  return address;
+}
+
+static struct hs_segment
+segment_of (unsigned int flags, uint16_t port, uint32_t seq, uint32_t ack,
+            uint16_t len)
+{
+  struct hs_segment segment = { .from = addr ("100.64.0.7:1"),
+                                .to = addr ("198.18.0.1:8080"),
+                                .flags = flags,
+                                .seq = seq,
+                                .ack = ack,
+                                .len = len };
+
+  segment.from.port = port;
+  return segment;
+}
+
+static struct hs_segment
+answer_to (const struct hs_segment *segment, unsigned int flags, uint32_t seq,
+           uint16_t len)
+{
+  return (struct hs_segment){ .from = segment->to,
+                              .to = segment->from,
+                              .flags = flags,
+                              .seq = seq,
+                              .ack = segment->seq + 1,
+                              .len = len };
+}
+
+static void
+report (struct entry *entry, const char *name, const char *zone,
+        enum hs_backend_state state, uint32_t busy, uint64_t now)
+{
+  static uint64_t seq;
+  struct hs_load_report load = { .slot = hs_slot_from_name (name),
+                                 .incarnation = 1,
+                                 .seq = ++seq,
+                                 .service = hs_slot_from_name (ALPHA),
+                                 .state = state,
+                                 .slots = 7,
+                                 .busy = busy };
+
+  g_strlcpy (load.zone, zone, sizeof load.zone);
+  hs_fleet_report (entry->fleet, &load, now);
+}
+
+static struct entry
+entry_create (uint64_t now)
+{
+  struct entry entry = { .root = talloc_new (NULL) };
+  struct hs_configuration *configuration = hs_platform_decode_configuration (
+      NULL, entry.root, json_configuration, strlen (json_configuration), NULL);
+
+  g_assert_nonnull (configuration);
+  entry.routing = hs_routing_create (entry.root, configuration);
+  entry.fleet = hs_fleet_create (entry.root, "a");
+  entry.steering = hs_steering_create (entry.root, entry.fleet);
+  hs_steering_set_routing (entry.steering, entry.routing);
+  hs_steering_set_complete (entry.steering, true);
+  report (&entry, "x", "a", HS_BACKEND_READY, 0, now);
+  report (&entry, "y", "b", HS_BACKEND_READY, 0, now);
+  report (&entry, "z", "b", HS_BACKEND_READY, 3, now);
+  return entry;
+}
+
+static uint64_t
+slot_of (const struct hs_steer *steer)
+{
+  g_assert_cmpint (steer->kind, ==, HS_STEER_FORWARD);
+  g_assert_cmpuint (steer->len, ==, 1);
+  return steer->to[0]->report.slot;
+}
+
+static void
+on_lost (void *ctx, const struct hs_segment *segment)
+{
+  struct lost *lost = ctx;
+
+  lost->len++;
+  lost->last = *segment;
+}
+
+static struct hs_sidecar *
+sidecar_create (void *root, struct lost *lost, uint64_t wall)
+{
+  struct hs_sidecar_ops ops = { on_lost };
+  struct hs_addr upstream = addr ("10.0.0.1:8080");
+
+  return hs_sidecar_create (root, ALPHA, &upstream, 1000, wall, &ops, lost);
+}
+
+static struct hs_heartbeat
+heartbeat_of (enum hs_upstream_state state, uint64_t born, uint64_t seq)
+{
+  struct hs_heartbeat heartbeat = { .id = "i-1",
+                                    .service = ALPHA,
+                                    .address = addr ("10.0.0.1:8080"),
+                                    .state = state,
+                                    .slots = 7,
+                                    .born = born,
+                                    .seq = seq };
+
+  return heartbeat;
+}
+
+static void
+beat (struct hs_sidecar *sidecar, enum hs_upstream_state state, uint64_t born,
+      uint64_t seq, uint64_t now)
+{
+  struct hs_heartbeat heartbeat = heartbeat_of (state, born, seq);
+
+  g_assert_true (hs_sidecar_heartbeat (sidecar, &heartbeat, now, NULL));
+}
+
+static struct hs_sidecar_step
+from_entry (struct hs_sidecar *sidecar, const struct hs_segment *segment,
+            bool ask, uint64_t now)
+{
+  struct hs_addr entry = addr ("10.0.0.9:7000");
+
+  return hs_sidecar_from_entry (sidecar, segment, &entry,
+                                hs_slot_from_name (ALPHA), ask, now);
+}
+
+static struct hs_load_report
+load_of (const struct hs_sidecar *sidecar)
+{
+  struct hs_load_report load = { .slot = 0 };
+
+  hs_sidecar_load (sidecar, &load);
+  return load;
+}
+
+/* The platform's packets.  */
+
+static void
+test_head_example (void)
+{
+  static const uint8_t syn[HEAD_SIZE]
+      = { 0x00, 0x00, 0xa1, 0xb2, 0xc3, 0xd5, 0x9c, 0x41, 0x01, 0xbb, 0x64,
+          0x40, 0x00, 0x07, 0xc6, 0x12, 0x00, 0x01, 0x00, 0x00, 0x00, 0x00,
+          0x40, 0x00, 0x11, 0x22, 0x33, 0x44, 0x00, 0x00, 0x00, 0x00 };
+  static const uint8_t reset[HEAD_SIZE]
+      = { 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x01, 0xbb, 0x9c, 0x41, 0xc6,
+          0x12, 0x00, 0x01, 0x64, 0x40, 0x00, 0x07, 0x00, 0x00, 0x00, 0x00,
+          0x04, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00 };
+  struct hs_segment segment;
+  uint8_t bytes[HS_RESET_SIZE_MAX];
+  struct hs_addr caller = addr ("100.64.0.7:40001");
+  struct hs_addr service = addr ("198.18.0.1:443");
+
+  g_assert_true (hs_platform_decode_segment (NULL, syn, sizeof syn, &segment));
+  g_assert_true (hs_addr_equal (&segment.from, &caller));
+  g_assert_true (hs_addr_equal (&segment.to, &service));
+  g_assert_cmpuint (segment.flags, ==, HS_SEGMENT_SYN);
+  g_assert_cmpuint (segment.seq, ==, 0x11223344);
+  g_assert_true (hs_segment_opens (&segment));
+  g_assert_cmpuint (hs_platform_encode_reset (NULL, &segment, bytes), ==,
+                    HEAD_SIZE);
+  g_assert_cmpmem (bytes, HEAD_SIZE, reset, HEAD_SIZE);
+}
+
+static void
+test_head_round_trip (void)
+{
+  for (unsigned int flags = 0; flags < 32; flags++)
+    {
+      struct hs_segment segment
+          = segment_of (flags, 4711, 0xfedcba98, 0x01020304, 9);
+      struct hs_segment copy;
+      uint8_t bytes[HEAD_SIZE + 9] = { 0 };
+
+      g_assert_cmpuint (hs_platform_encode_segment (&segment, bytes), ==,
+                        HEAD_SIZE);
+      g_assert_true (
+          hs_platform_decode_segment (NULL, bytes, sizeof bytes, &copy));
+      g_assert_cmpuint (copy.flags, ==, flags);
+      g_assert_cmpuint (copy.seq, ==, segment.seq);
+      g_assert_cmpuint (copy.ack, ==, segment.ack);
+      g_assert_cmpuint (copy.len, ==, 9);
+      g_assert_true (hs_addr_equal (&copy.from, &segment.from));
+      g_assert_true (hs_addr_equal (&copy.to, &segment.to));
+      hs_platform_restore_segment (NULL, bytes);
+      hs_platform_decode_segment (NULL, bytes, sizeof bytes, &copy);
+      g_assert_cmpuint (copy.flags, ==,
+                        flags & ~(unsigned int)HS_SEGMENT_RETURNED);
+    }
+}
+
+static void
+test_head_hostile (void)
+{
+  struct hs_segment segment = segment_of (HS_SEGMENT_ACK, 1, 2, 3, 40);
+  struct hs_segment copy;
+  uint8_t bytes[HEAD_SIZE + 40] = { 0 };
+
+  hs_platform_encode_segment (&segment, bytes);
+  for (size_t len = 0; len < sizeof bytes; len++)
+    g_assert_false (hs_platform_decode_segment (NULL, bytes, len, &copy));
+  g_assert_true (
+      hs_platform_decode_segment (NULL, bytes, sizeof bytes, &copy));
+}
+
+/* On an open flow the reset is near what the caller has acknowledged.  */
+static void
+test_reset_of_open_flow (void)
+{
+  struct hs_segment segment = segment_of (HS_SEGMENT_ACK, 1, 2, 777, 0);
+  struct hs_segment reset;
+  uint8_t bytes[HS_RESET_SIZE_MAX];
+
+  hs_platform_encode_reset (NULL, &segment, bytes);
+  g_assert_true (hs_platform_decode_segment (NULL, bytes, HEAD_SIZE, &reset));
+  g_assert_cmpuint (reset.flags, ==, HS_SEGMENT_RST);
+  g_assert_cmpuint (reset.seq, ==, 777);
+  g_assert_true (hs_addr_equal (&reset.to, &segment.from));
+}
+
+static void
+test_heartbeats_decoded (void)
+{
+  static const char good[]
+      = "{\"service\":\"alpha\",\"address\":\"10.0.0.1:8080\",\"zone\":\"a\","
+        "\"version\":\"v1\",\"slots\":7,\"state\":\"draining\","
+        "\"coldRemainingMs\":12,\"seq\":4,\"born\":1777316675632}";
+  static const char *const bad[]
+      = { "",
+          "[]",
+          "{\"service\":\"alpha\"",
+          "{\"service\":1,\"address\":\"10.0.0.1:8080\",\"slots\":7,"
+          "\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":4}",
+          "{\"service\":\"alpha\",\"address\":\"nowhere\",\"slots\":7,"
+          "\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":4}",
+          "{\"service\":\"alpha\",\"address\":\"10.0.0.1:8080\","
+          "\"slots\":\"7\",\"state\":\"ready\",\"coldRemainingMs\":0,"
+          "\"seq\":4}",
+          "{\"service\":\"alpha\",\"address\":\"10.0.0.1:8080\",\"slots\":7,"
+          "\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":-4}",
+          "{\"service\":\"alpha\",\"address\":\"10.0.0.1:8080\",\"slots\":7,"
+          "\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":4,"
+          "\"born\":1.5}" };
+  struct hs_heartbeat heartbeat;
+
+  g_assert_true (hs_platform_decode_heartbeat (
+      NULL, "i-1", good, strlen (good), &heartbeat, NULL));
+  g_assert_cmpint (heartbeat.state, ==, HS_UPSTREAM_DRAINING);
+  g_assert_cmpuint (heartbeat.born, ==, 1777316675632);
+  g_assert_cmpuint (heartbeat.cold_ms, ==, 12);
+  g_assert_cmpstr (heartbeat.id, ==, "i-1");
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      g_autoptr (GError) error = NULL;
+
+      g_assert_false (hs_platform_decode_heartbeat (
+          NULL, "i-1", bad[i], strlen (bad[i]), &heartbeat, &error));
+      g_assert_error (error, HS_ERROR, HS_ERROR_MALFORMED);
+    }
+}
+
+static void
+test_operations_read (void)
+{
+  const struct hs_dialect *dialect = hs_platform_dialect ();
+  char id[HS_NAME_SIZE];
+
+  g_assert_cmpint (
+      dialect->read_operation (NULL, "GET", "/hibiscusspan/ready", id), ==,
+      HS_OPERATION_READY);
+  g_assert_cmpint (dialect->read_operation (NULL, "POST",
+                                            "/hibiscusspan/instances/i-7/"
+                                            "heartbeat",
+                                            id),
+                   ==, HS_OPERATION_HEARTBEAT);
+  g_assert_cmpstr (id, ==, "i-7");
+  g_assert_cmpint (dialect->read_operation (
+                       NULL, "POST", "/hibiscusspan/instances//leave", id),
+                   ==, HS_OPERATION_UNKNOWN);
+  g_assert_cmpint (dialect->read_operation (
+                       NULL, "GET", "/hibiscusspan/instances/i-7/leave", id),
+                   ==, HS_OPERATION_UNKNOWN);
+}
+
+/* Configurations.  */
+
+static bool
+is_valid (const char *json)
+{
+  void *root = talloc_new (NULL);
+  struct hs_configuration *configuration = hs_platform_decode_configuration (
+      NULL, root, json, strlen (json), NULL);
+  bool valid
+      = configuration != NULL && hs_configuration_check (configuration, NULL);
+
+  talloc_free (root);
+  return valid;
+}
+
+static void
+check_replaced (const char *part, const char *by)
+{
+  const char *at = strstr (json_configuration, part);
+  g_autofree char *json = NULL;
+
+  g_assert_nonnull (at);
+  json = g_strdup_printf ("%.*s%s%s", (int)(at - json_configuration),
+                          json_configuration, by, at + strlen (part));
+  g_assert_false (is_valid (json));
+}
+
+static void
+test_configuration_checked (void)
+{
+  g_assert_true (is_valid (json_configuration));
+  check_replaced ("\"version\":7", "\"version\":\"7\"");
+  check_replaced ("\"timeoutMs\":2000", "\"timeoutMs\":0");
+  check_replaced ("\"service\":\"alpha\"}", "\"service\":\"gamma\"}");
+  check_replaced ("\"service\":\"beta\"", "\"service\":\"gamma\"");
+  check_replaced ("\"/8443/\"", "\"/8080/\"");
+  check_replaced ("\"/8443/\"", "\"8443\"");
+  check_replaced ("\"weight\":90},{\"service\":\"beta\",\"weight\":10}",
+                  "\"weight\":0},{\"service\":\"beta\",\"weight\":0}");
+  check_replaced ("\"trafficSplit\":[{\"service\":\"alpha\",\"weight\":90},"
+                  "{\"service\":\"beta\",\"weight\":10}]",
+                  "\"trafficSplit\":[]");
+  for (size_t len = 0; len < strlen (json_configuration); len += 7)
+    {
+      g_autofree char *cut = g_strndup (json_configuration, len);
+
+      g_assert_false (is_valid (cut));
+    }
+}
+
+static void
+test_routes_picked_by_weight (void)
+{
+  void *root = talloc_new (NULL);
+  struct hs_configuration *configuration = hs_platform_decode_configuration (
+      NULL, root, json_configuration, strlen (json_configuration), NULL);
+  struct hs_routing *routing = hs_routing_create (root, configuration);
+  struct hs_addr address = addr ("198.18.0.1:8443");
+  const struct hs_routing_rule *rule = hs_routing_find (routing, &address);
+  unsigned int beta = 0;
+
+  g_assert_nonnull (rule);
+  g_assert_cmpint (rule->work, ==, HS_WORK_IDEMPOTENT);
+  g_assert_cmpuint (hs_routing_flow_idle_ms (routing), ==, 12000);
+  for (uint64_t i = 0; i < 1000; i++)
+    beta += hs_routing_pick (rule, hs_rank_score (i, 1))
+            == hs_slot_from_name (BETA);
+  g_assert_cmpuint (beta, >, 60);
+  g_assert_cmpuint (beta, <, 140);
+  address.port = 1;
+  g_assert_null (hs_routing_find (routing, &address));
+  talloc_free (root);
+}
+
+/* Placing.  */
+
+static void
+test_placing_prefers_zone_until_busy (void)
+{
+  struct entry entry = entry_create (0);
+  uint64_t alpha = hs_slot_from_name (ALPHA);
+  const struct hs_backend *chosen
+      = hs_fleet_choose (entry.fleet, alpha, NULL, 0, 0);
+  uint64_t x = hs_slot_from_name ("x");
+  uint64_t y = hs_slot_from_name ("y");
+
+  g_assert_cmpuint (chosen->report.slot, ==, x);
+  report (&entry, "x", "a", HS_BACKEND_READY, 6, 10);
+  chosen = hs_fleet_choose (entry.fleet, alpha, NULL, 0, 10);
+  g_assert_cmpuint (chosen->report.slot, ==, y);
+  chosen = hs_fleet_choose (entry.fleet, alpha, &y, 1, 10);
+  g_assert_cmpuint (chosen->report.slot, ==, hs_slot_from_name ("z"));
+  talloc_free (entry.root);
+}
+
+/* What was placed since the last report counts, so that a burst between two
+   reports does not all go to one agent.  */
+static void
+test_placing_spreads_between_reports (void)
+{
+  struct entry entry = entry_create (0);
+  unsigned int most = 0;
+  unsigned int counts[3] = { 0 };
+
+  for (unsigned int i = 0; i < 21; i++)
+    {
+      const struct hs_backend *chosen = hs_fleet_choose (
+          entry.fleet, hs_slot_from_name (ALPHA), NULL, 0, 0);
+      unsigned int n = chosen->report.slot == hs_slot_from_name ("x")   ? 0
+                       : chosen->report.slot == hs_slot_from_name ("y") ? 1
+                                                                        : 2;
+
+      counts[n]++;
+    }
+  for (size_t i = 0; i < 3; i++)
+    most = counts[i] > most ? counts[i] : most;
+  g_assert_cmpuint (most, <=, 11);
+  g_assert_cmpuint (counts[2], >, 0);
+  talloc_free (entry.root);
+}
+
+static void
+test_placing_skips_unfit (void)
+{
+  struct entry entry = entry_create (0);
+  uint64_t alpha = hs_slot_from_name (ALPHA);
+
+  report (&entry, "x", "a", HS_BACKEND_LEAVING, 0, 10);
+  report (&entry, "y", "b", HS_BACKEND_ABSENT, 0, 10);
+  g_assert_cmpuint (
+      hs_fleet_choose (entry.fleet, alpha, NULL, 0, 10)->report.slot, ==,
+      hs_slot_from_name ("z"));
+  g_assert_null (
+      hs_fleet_choose (entry.fleet, alpha, NULL, 0, 11 + HS_FLEET_FRESH_MS));
+  g_assert_null (
+      hs_fleet_choose (entry.fleet, hs_slot_from_name (BETA), NULL, 0, 10));
+  hs_fleet_expire (entry.fleet, 11 + HS_FLEET_LIFE_MS);
+  g_assert_null (hs_fleet_find (entry.fleet, hs_slot_from_name ("z")));
+  talloc_free (entry.root);
+}
+
+static void
+test_late_report_passed_over (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_load_report old
+      = hs_fleet_find (entry.fleet, hs_slot_from_name ("x"))->report;
+
+  report (&entry, "x", "a", HS_BACKEND_LEAVING, 0, 10);
+  g_assert_false (hs_fleet_report (entry.fleet, &old, 20));
+  g_assert_cmpint (
+      hs_fleet_find (entry.fleet, hs_slot_from_name ("x"))->report.state, ==,
+      HS_BACKEND_LEAVING);
+  talloc_free (entry.root);
+}
+
+/* Steering.  */
+
+static void
+test_flow_stays (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment syn = segment_of (HS_SEGMENT_SYN, 9, 100, 0, 0);
+  struct hs_segment data = segment_of (HS_SEGMENT_ACK, 9, 101, 501, 50);
+  struct hs_steer steer = hs_steering_route (entry.steering, &syn, 0);
+  uint64_t slot = slot_of (&steer);
+
+  g_assert_true (steer.placed);
+  syn.ack = 1;
+  steer = hs_steering_route (entry.steering, &syn, 200);
+  g_assert_false (steer.placed);
+  g_assert_cmpuint (slot_of (&steer), ==, slot);
+  /* Whatever becomes of the agent, its flow is not moved.  */
+  report (&entry, "x", "a", HS_BACKEND_ABSENT, 9, 210);
+  steer = hs_steering_route (entry.steering, &data, 220);
+  g_assert_cmpuint (slot_of (&steer), ==, slot);
+  g_assert_false (steer.ask);
+  talloc_free (entry.root);
+}
+
+static void
+test_doubted_syn_goes_elsewhere (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment syn = segment_of (HS_SEGMENT_SYN, 9, 100, 0, 0);
+  struct hs_segment ack = segment_of (HS_SEGMENT_ACK, 9, 101, 501, 0);
+  struct hs_steer steer = hs_steering_route (entry.steering, &syn, 0);
+  uint64_t first = slot_of (&steer);
+
+  syn.ack = 2;
+  steer = hs_steering_route (entry.steering, &syn, 600);
+  g_assert_cmpuint (slot_of (&steer), !=, first);
+  /* Only the caller's handshake tells which of the two has the flow.  */
+  steer = hs_steering_route (entry.steering, &ack, 610);
+  g_assert_true (steer.ask);
+  g_assert_cmpuint (steer.len, ==, 2);
+  hs_steering_held (entry.steering,
+                    &(struct hs_segment_key){ ack.from, ack.to }, first, 620);
+  steer = hs_steering_route (entry.steering, &ack, 630);
+  g_assert_cmpuint (slot_of (&steer), ==, first);
+  talloc_free (entry.root);
+}
+
+static void
+test_refused_syn_goes_elsewhere (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment syn = segment_of (HS_SEGMENT_SYN, 9, 100, 0, 0);
+  struct hs_steer steer = hs_steering_route (entry.steering, &syn, 0);
+  uint64_t slots[3];
+
+  slots[0] = slot_of (&steer);
+  steer = hs_steering_refused (entry.steering, &syn, slots[0],
+                               HS_REASON_LEAVING, 5);
+  slots[1] = slot_of (&steer);
+  steer = hs_steering_refused (entry.steering, &syn, slots[1], HS_REASON_SHED,
+                               10);
+  slots[2] = slot_of (&steer);
+  g_assert_cmpuint (slots[0], !=, slots[1]);
+  g_assert_cmpuint (slots[1], !=, slots[2]);
+  g_assert_cmpuint (slots[0], !=, slots[2]);
+  /* A refusal of an earlier SYN of the same port changes nothing.  */
+  syn.seq = 99;
+  steer = hs_steering_refused (entry.steering, &syn, slots[2], HS_REASON_SHED,
+                               15);
+  g_assert_cmpint (steer.kind, ==, HS_STEER_DROP);
+  talloc_free (entry.root);
+}
+
+static void
+test_unknown_flow_asked_for (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment data = segment_of (HS_SEGMENT_ACK, 9, 101, 501, 50);
+  struct hs_segment_key key = { data.from, data.to };
+  struct hs_segment reset;
+  struct hs_steer steer = hs_steering_route (entry.steering, &data, 0);
+
+  g_assert_true (steer.ask);
+  g_assert_cmpuint (steer.len, ==, 3);
+  g_assert_false (hs_steering_denied (entry.steering, &key,
+                                      hs_slot_from_name ("x"), &reset));
+  g_assert_false (hs_steering_denied (entry.steering, &key,
+                                      hs_slot_from_name ("x"), &reset));
+  hs_steering_held (entry.steering, &key, hs_slot_from_name ("z"), 5);
+  steer = hs_steering_route (entry.steering, &data, 10);
+  g_assert_cmpuint (slot_of (&steer), ==, hs_slot_from_name ("z"));
+  /* The holder is known: a late denial of another changes nothing.  */
+  g_assert_false (hs_steering_denied (entry.steering, &key,
+                                      hs_slot_from_name ("y"), &reset));
+  talloc_free (entry.root);
+}
+
+static void
+test_flow_that_nobody_holds_is_reset (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment data = segment_of (HS_SEGMENT_ACK, 9, 101, 501, 50);
+  struct hs_segment_key key = { data.from, data.to };
+  struct hs_segment reset;
+
+  /* An entry that may not know of every agent resets nothing.  */
+  hs_steering_set_complete (entry.steering, false);
+  hs_steering_route (entry.steering, &data, 0);
+  g_assert_false (hs_steering_denied (entry.steering, &key,
+                                      hs_slot_from_name ("x"), &reset));
+  g_assert_false (hs_steering_denied (entry.steering, &key,
+                                      hs_slot_from_name ("y"), &reset));
+  g_assert_false (hs_steering_denied (entry.steering, &key,
+                                      hs_slot_from_name ("z"), &reset));
+  hs_steering_set_complete (entry.steering, true);
+  data.from.port = 10;
+  key.caller = data.from;
+  hs_steering_route (entry.steering, &data, 0);
+  g_assert_false (hs_steering_denied (entry.steering, &key,
+                                      hs_slot_from_name ("x"), &reset));
+  g_assert_false (hs_steering_denied (entry.steering, &key,
+                                      hs_slot_from_name ("y"), &reset));
+  g_assert_true (hs_steering_denied (entry.steering, &key,
+                                     hs_slot_from_name ("z"), &reset));
+  g_assert_cmpuint (reset.ack, ==, 501);
+  g_assert_true (hs_addr_equal (&reset.from, &data.from));
+  talloc_free (entry.root);
+}
+
+static void
+test_no_route (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment syn = segment_of (HS_SEGMENT_SYN, 9, 100, 0, 0);
+
+  syn.to.port = 1;
+  g_assert_cmpint (hs_steering_route (entry.steering, &syn, 0).kind, ==,
+                   HS_STEER_RESET);
+  hs_steering_set_routing (entry.steering, NULL);
+  g_assert_cmpint (hs_steering_route (entry.steering, &syn, 0).kind, ==,
+                   HS_STEER_DROP);
+  talloc_free (entry.root);
+}
+
+/* The sidecar.  */
+
+static void
+test_draining_refuses_from_the_ack_on (void)
+{
+  void *root = talloc_new (NULL);
+  struct lost lost = { 0 };
+  struct hs_sidecar *sidecar = sidecar_create (root, &lost, 1000);
+  struct hs_segment syn = segment_of (HS_SEGMENT_SYN, 9, 100, 0, 0);
+  struct hs_segment open
+      = answer_to (&syn, HS_SEGMENT_SYN | HS_SEGMENT_ACK, 500, 0);
+  struct hs_segment data = segment_of (HS_SEGMENT_ACK, 9, 101, 501, 50);
+  struct hs_sidecar_step step = from_entry (sidecar, &syn, false, 0);
+
+  g_assert_cmpint (step.action, ==, HS_SIDECAR_REFUSE);
+  g_assert_cmpint (step.reason, ==, HS_REASON_NO_UPSTREAM);
+  beat (sidecar, HS_UPSTREAM_READY, 2000, 1, 0);
+  g_assert_cmpint (from_entry (sidecar, &syn, false, 0).action, ==,
+                   HS_SIDECAR_DELIVER);
+  g_assert_cmpint (hs_sidecar_from_upstream (sidecar, &open, 1).action, ==,
+                   HS_SIDECAR_ANSWER);
+  beat (sidecar, HS_UPSTREAM_DRAINING, 2000, 2, 2);
+  syn.from.port = 10;
+  step = from_entry (sidecar, &syn, false, 2);
+  g_assert_cmpint (step.action, ==, HS_SIDECAR_REFUSE);
+  g_assert_cmpint (step.reason, ==, HS_REASON_LEAVING);
+  /* A report that was held up on its way does not bring it back.  */
+  beat (sidecar, HS_UPSTREAM_READY, 2000, 1, 3);
+  beat (sidecar, HS_UPSTREAM_READY, 1999, 9, 3);
+  g_assert_cmpint (from_entry (sidecar, &syn, false, 3).action, ==,
+                   HS_SIDECAR_REFUSE);
+  /* Its open flows go on.  */
+  g_assert_cmpint (from_entry (sidecar, &data, false, 4).action, ==,
+                   HS_SIDECAR_DELIVER);
+  g_assert_cmpuint (load_of (sidecar).busy, ==, 1);
+  g_assert_cmpint (load_of (sidecar).state, ==, HS_BACKEND_LEAVING);
+  talloc_free (root);
+}
+
+static void
+test_other_writers_refused (void)
+{
+  void *root = talloc_new (NULL);
+  struct lost lost = { 0 };
+  struct hs_sidecar *sidecar = sidecar_create (root, &lost, 1000);
+  struct hs_heartbeat heartbeat = heartbeat_of (HS_UPSTREAM_READY, 2000, 1);
+
+  g_strlcpy (heartbeat.service, BETA, sizeof heartbeat.service);
+  g_assert_false (hs_sidecar_heartbeat (sidecar, &heartbeat, 0, NULL));
+  heartbeat = heartbeat_of (HS_UPSTREAM_UNKNOWN, 2000, 1);
+  g_assert_false (hs_sidecar_heartbeat (sidecar, &heartbeat, 0, NULL));
+  heartbeat = heartbeat_of (HS_UPSTREAM_READY, 2000, 1);
+  heartbeat.address.port = 1;
+  g_assert_false (hs_sidecar_heartbeat (sidecar, &heartbeat, 0, NULL));
+  g_assert_cmpint (load_of (sidecar).state, ==, HS_BACKEND_ABSENT);
+  talloc_free (root);
+}
+
+static void
+test_wrong_service_refused (void)
+{
+  void *root = talloc_new (NULL);
+  struct lost lost = { 0 };
+  struct hs_sidecar *sidecar = sidecar_create (root, &lost, 1000);
+  struct hs_segment syn = segment_of (HS_SEGMENT_SYN, 9, 100, 0, 0);
+  struct hs_addr entry = addr ("10.0.0.9:7000");
+  struct hs_sidecar_step step;
+
+  beat (sidecar, HS_UPSTREAM_READY, 2000, 1, 0);
+  step = hs_sidecar_from_entry (sidecar, &syn, &entry,
+                                hs_slot_from_name (BETA), false, 0);
+  g_assert_cmpint (step.action, ==, HS_SIDECAR_REFUSE);
+  g_assert_cmpint (step.reason, ==, HS_REASON_WRONG_SERVICE);
+  talloc_free (root);
+}
+
+static void
+test_returned_syn_goes_back (void)
+{
+  void *root = talloc_new (NULL);
+  struct lost lost = { 0 };
+  struct hs_sidecar *sidecar = sidecar_create (root, &lost, 1000);
+  struct hs_segment syn = segment_of (HS_SEGMENT_SYN, 9, 100, 0, 0);
+  struct hs_addr entry = addr ("10.0.0.9:7000");
+  struct hs_sidecar_step step;
+
+  beat (sidecar, HS_UPSTREAM_READY, 2000, 1, 0);
+  from_entry (sidecar, &syn, false, 0);
+  syn.flags |= HS_SEGMENT_RETURNED;
+  step = hs_sidecar_from_upstream (sidecar, &syn, 1);
+  g_assert_cmpint (step.action, ==, HS_SIDECAR_REFUSE);
+  g_assert_true (hs_addr_equal (&step.entry, &entry));
+  talloc_free (root);
+}
+
+/* An agent that starts beside an upstream that was there before.  */
+static void
+test_flows_learned_after_a_restart (void)
+{
+  void *root = talloc_new (NULL);
+  struct lost lost = { 0 };
+  struct hs_sidecar *sidecar = sidecar_create (root, &lost, 5000);
+  struct hs_segment data = segment_of (HS_SEGMENT_ACK, 9, 101, 501, 50);
+  struct hs_segment answer = answer_to (&data, HS_SEGMENT_ACK, 501, 0);
+  struct hs_segment other = segment_of (HS_SEGMENT_ACK, 10, 101, 501, 50);
+  struct hs_sidecar_step step;
+
+  beat (sidecar, HS_UPSTREAM_READY, 2000, 1, 0);
+  step = from_entry (sidecar, &data, true, 1);
+  g_assert_cmpint (step.action, ==, HS_SIDECAR_DELIVER);
+  g_assert_cmpint (step.claim, ==, HS_CLAIM_NONE);
+  step = hs_sidecar_from_upstream (sidecar, &answer, 2);
+  g_assert_cmpint (step.action, ==, HS_SIDECAR_ANSWER);
+  g_assert_cmpint (step.claim, ==, HS_CLAIM_HELD);
+  g_assert_cmpint (from_entry (sidecar, &data, true, 3).claim, ==,
+                   HS_CLAIM_HELD);
+  from_entry (sidecar, &other, true, 4);
+  other.flags |= HS_SEGMENT_RETURNED;
+  step = hs_sidecar_from_upstream (sidecar, &other, 5);
+  g_assert_cmpint (step.action, ==, HS_SIDECAR_DROP);
+  g_assert_cmpint (step.claim, ==, HS_CLAIM_DENIED);
+  talloc_free (root);
+}
+
+/* An upstream that is just starting may reset what it does not know.  */
+static void
+test_reset_of_probed_upstream_kept (void)
+{
+  void *root = talloc_new (NULL);
+  struct lost lost = { 0 };
+  struct hs_sidecar *sidecar = sidecar_create (root, &lost, 5000);
+  struct hs_segment data = segment_of (HS_SEGMENT_ACK, 9, 101, 501, 50);
+  struct hs_segment reset = answer_to (&data, HS_SEGMENT_RST, 0, 0);
+  struct hs_sidecar_step step;
+
+  from_entry (sidecar, &data, true, 1);
+  step = hs_sidecar_from_upstream (sidecar, &reset, 2);
+  g_assert_cmpint (step.action, ==, HS_SIDECAR_DROP);
+  g_assert_cmpint (step.claim, ==, HS_CLAIM_DENIED);
+  step = from_entry (sidecar, &data, true, 3);
+  g_assert_cmpint (step.action, ==, HS_SIDECAR_DROP);
+  g_assert_cmpint (step.claim, ==, HS_CLAIM_DENIED);
+  talloc_free (root);
+}
+
+/* An agent that knows all flows of its upstream denies the others at once. */
+static void
+test_unknown_flow_denied (void)
+{
+  void *root = talloc_new (NULL);
+  struct lost lost = { 0 };
+  struct hs_sidecar *sidecar = sidecar_create (root, &lost, 1000);
+  struct hs_segment data = segment_of (HS_SEGMENT_ACK, 9, 101, 501, 50);
+  struct hs_sidecar_step step;
+
+  beat (sidecar, HS_UPSTREAM_READY, 2000, 1, 0);
+  step = from_entry (sidecar, &data, true, 1);
+  g_assert_cmpint (step.action, ==, HS_SIDECAR_DROP);
+  g_assert_cmpint (step.claim, ==, HS_CLAIM_DENIED);
+  /* An entry that placed the flow here is believed.  */
+  g_assert_cmpint (from_entry (sidecar, &data, false, 1).action, ==,
+                   HS_SIDECAR_DELIVER);
+  talloc_free (root);
+}
+
+/* Two upstreams answered copies of one SYN: the caller took the other's.  */
+static void
+test_other_handshake_denied (void)
+{
+  void *root = talloc_new (NULL);
+  struct lost lost = { 0 };
+  struct hs_sidecar *sidecar = sidecar_create (root, &lost, 1000);
+  struct hs_segment syn = segment_of (HS_SEGMENT_SYN, 9, 100, 0, 0);
+  struct hs_segment open
+      = answer_to (&syn, HS_SEGMENT_SYN | HS_SEGMENT_ACK, 500, 0);
+  struct hs_segment mine = segment_of (HS_SEGMENT_ACK, 9, 101, 501, 0);
+  struct hs_segment others
+      = segment_of (HS_SEGMENT_ACK, 9, 101, 0x90000000, 0);
+
+  beat (sidecar, HS_UPSTREAM_READY, 2000, 1, 0);
+  from_entry (sidecar, &syn, false, 0);
+  hs_sidecar_from_upstream (sidecar, &open, 1);
+  g_assert_cmpint (from_entry (sidecar, &others, true, 2).claim, ==,
+                   HS_CLAIM_DENIED);
+  g_assert_cmpint (from_entry (sidecar, &mine, true, 2).claim, ==,
+                   HS_CLAIM_HELD);
+  talloc_free (root);
+}
+
+static void
+test_new_start_loses_flows (void)
+{
+  void *root = talloc_new (NULL);
+  struct lost lost = { 0 };
+  struct hs_sidecar *sidecar = sidecar_create (root, &lost, 1000);
+  struct hs_segment syn = segment_of (HS_SEGMENT_SYN, 9, 100, 0, 0);
+  struct hs_segment open
+      = answer_to (&syn, HS_SEGMENT_SYN | HS_SEGMENT_ACK, 500, 0);
+  struct hs_segment data = segment_of (HS_SEGMENT_ACK, 9, 101, 501, 50);
+
+  beat (sidecar, HS_UPSTREAM_READY, 2000, 1, 0);
+  from_entry (sidecar, &syn, false, 0);
+  hs_sidecar_from_upstream (sidecar, &open, 1);
+  from_entry (sidecar, &data, false, 2);
+  g_assert_cmpuint (load_of (sidecar).flows, ==, 1);
+  beat (sidecar, HS_UPSTREAM_READY, 3000, 1, 5);
+  g_assert_cmpuint (lost.len, ==, 1);
+  g_assert_cmpuint (lost.last.ack, ==, 501);
+  g_assert_cmpuint (load_of (sidecar).flows, ==, 0);
+  g_assert_cmpuint (load_of (sidecar).busy, ==, 0);
+  talloc_free (root);
+}
+
+static void
+test_requests_counted (void)
+{
+  void *root = talloc_new (NULL);
+  struct lost lost = { 0 };
+  struct hs_sidecar *sidecar = sidecar_create (root, &lost, 1000);
+  struct hs_segment syn = segment_of (HS_SEGMENT_SYN, 9, 100, 0, 0);
+  struct hs_segment open
+      = answer_to (&syn, HS_SEGMENT_SYN | HS_SEGMENT_ACK, 500, 0);
+  struct hs_segment data = segment_of (HS_SEGMENT_ACK, 9, 101, 501, 50);
+  struct hs_segment body = answer_to (&data, HS_SEGMENT_ACK, 501, 900);
+  struct hs_segment fin
+      = segment_of (HS_SEGMENT_FIN | HS_SEGMENT_ACK, 9, 151, 1401, 0);
+  struct hs_segment fin_back
+      = answer_to (&fin, HS_SEGMENT_FIN | HS_SEGMENT_ACK, 1401, 0);
+
+  beat (sidecar, HS_UPSTREAM_READY, 2000, 1, 0);
+  from_entry (sidecar, &syn, false, 0);
+  hs_sidecar_from_upstream (sidecar, &open, 1);
+  from_entry (sidecar, &data, false, 2);
+  from_entry (sidecar, &data, false, 3);
+  g_assert_cmpuint (load_of (sidecar).busy, ==, 1);
+  hs_sidecar_from_upstream (sidecar, &body, 60);
+  g_assert_cmpuint (load_of (sidecar).busy, ==, 0);
+  g_assert_cmpuint (load_of (sidecar).flows, ==, 1);
+  from_entry (sidecar, &fin, false, 61);
+  hs_sidecar_from_upstream (sidecar, &fin_back, 62);
+  g_assert_cmpuint (load_of (sidecar).flows, ==, 0);
+  talloc_free (root);
+}
+
+static void
+test_silent_upstream_absent (void)
+{
+  void *root = talloc_new (NULL);
+  struct lost lost = { 0 };
+  struct hs_sidecar *sidecar = sidecar_create (root, &lost, 1000);
+  struct hs_segment syn = segment_of (HS_SEGMENT_SYN, 9, 100, 0, 0);
+
+  beat (sidecar, HS_UPSTREAM_READY, 2000, 1, 0);
+  hs_sidecar_tick (sidecar, 2900);
+  g_assert_cmpint (load_of (sidecar).state, ==, HS_BACKEND_READY);
+  hs_sidecar_tick (sidecar, 3100);
+  g_assert_cmpint (load_of (sidecar).state, ==, HS_BACKEND_ABSENT);
+  beat (sidecar, HS_UPSTREAM_READY, 2000, 2, 4000);
+  g_assert_cmpint (load_of (sidecar).state, ==, HS_BACKEND_READY);
+  /* A SYN that nothing answers tells sooner.  */
+  from_entry (sidecar, &syn, false, 4000);
+  hs_sidecar_tick (sidecar, 4200);
+  g_assert_cmpint (load_of (sidecar).state, ==, HS_BACKEND_ABSENT);
+  talloc_free (root);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/segment/head-example", test_head_example);
+  g_test_add_func ("/segment/head-round-trip", test_head_round_trip);
+  g_test_add_func ("/segment/head-hostile", test_head_hostile);
+  g_test_add_func ("/segment/reset-of-open-flow", test_reset_of_open_flow);
+  g_test_add_func ("/segment/heartbeats-decoded", test_heartbeats_decoded);
+  g_test_add_func ("/segment/operations-read", test_operations_read);
+  g_test_add_func ("/segment/configuration-checked",
+                   test_configuration_checked);
+  g_test_add_func ("/segment/routes-by-weight", test_routes_picked_by_weight);
+  g_test_add_func ("/segment/placing-zone",
+                   test_placing_prefers_zone_until_busy);
+  g_test_add_func ("/segment/placing-spreads",
+                   test_placing_spreads_between_reports);
+  g_test_add_func ("/segment/placing-unfit", test_placing_skips_unfit);
+  g_test_add_func ("/segment/late-report", test_late_report_passed_over);
+  g_test_add_func ("/segment/flow-stays", test_flow_stays);
+  g_test_add_func ("/segment/doubted-syn", test_doubted_syn_goes_elsewhere);
+  g_test_add_func ("/segment/refused-syn", test_refused_syn_goes_elsewhere);
+  g_test_add_func ("/segment/unknown-flow", test_unknown_flow_asked_for);
+  g_test_add_func ("/segment/nobody-holds",
+                   test_flow_that_nobody_holds_is_reset);
+  g_test_add_func ("/segment/no-route", test_no_route);
+  g_test_add_func ("/segment/draining", test_draining_refuses_from_the_ack_on);
+  g_test_add_func ("/segment/other-writers", test_other_writers_refused);
+  g_test_add_func ("/segment/wrong-service", test_wrong_service_refused);
+  g_test_add_func ("/segment/returned-syn", test_returned_syn_goes_back);
+  g_test_add_func ("/segment/restart-learns",
+                   test_flows_learned_after_a_restart);
+  g_test_add_func ("/segment/probed-reset",
+                   test_reset_of_probed_upstream_kept);
+  g_test_add_func ("/segment/unknown-denied", test_unknown_flow_denied);
+  g_test_add_func ("/segment/other-handshake", test_other_handshake_denied);
+  g_test_add_func ("/segment/new-start", test_new_start_loses_flows);
+  g_test_add_func ("/segment/requests-counted", test_requests_counted);
+  g_test_add_func ("/segment/silent-upstream", test_silent_upstream_absent);
+  return g_test_run ();
+}
