--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -820,6 +820,7 @@
   uint32_t busy;    /* Requests in progress or queued there.  */
   uint32_t flows;   /* Open.  */
   uint32_t cold_ms; /* How much longer the upstream is slow.  */
+  uint32_t work_us; /* Mean time in a slot of a request; 0: not known.  */
   char zone[HS_NAME_SIZE];
 };
 
@@ -851,6 +852,12 @@
                  const uint64_t *excluded, size_t excluded_len,
                  uint64_t now); /* For a new flow, which is counted; NULL:
                                    none takes it.  */
+uint64_t hs_fleet_expected_ms (const struct hs_backend *backend); /* Of a new
+                                             request until its answer begins;
+                                             0: not known.  */
+const struct hs_backend *
+hs_fleet_least_busy (const struct hs_fleet *fleet, uint64_t service,
+                     uint64_t now); /* Of any availability zone.  */
 size_t hs_fleet_of_service (const struct hs_fleet *fleet, uint64_t service,
                             const struct hs_backend **backends,
                             size_t max); /* 0: of every service.  */
--- a/src/segment/fleet.c
+++ b/src/segment/fleet.c
@@ -142,6 +142,37 @@
   return best;
 }
 
+/* All slots work on what waits.  */
+uint64_t
+hs_fleet_expected_ms (const struct hs_backend *backend)
+{
+  const struct hs_load_report *report = &backend->report;
+  uint64_t slots = report->slots != 0 ? report->slots : SLOTS_UNKNOWN;
+  uint64_t busy = report->busy + backend->placed + 1;
+
+  return report->work_us * (busy > slots ? busy : slots) / slots / 1000;
+}
+
+const struct hs_backend *
+hs_fleet_least_busy (const struct hs_fleet *fleet, uint64_t service,
+                     uint64_t now)
+{
+  const struct hs_backend *best = NULL;
+
+  HS_LIST_FOREACH (link, &fleet->backends)
+    {
+      const struct hs_backend *backend
+          = HS_LIST_ENTRY (link, struct hs_backend, link);
+
+      if (backend->report.service == service
+          && hs_fleet_takes_flows (backend, now)
+          && (best == NULL
+              || hs_fleet_expected_ms (backend) < hs_fleet_expected_ms (best)))
+        best = backend;
+    }
+  return best;
+}
+
 size_t
 hs_fleet_of_service (const struct hs_fleet *fleet, uint64_t service,
                      const struct hs_backend **backends, size_t max)
--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -32,6 +32,9 @@
    less than 10 ms, until it counts as silent.  */
 #define UNANSWERED_MS 150
 
+/* Weight of the latest request in the mean of their work.  */
+#define WORK_WEIGHT_PERCENT 5
+
 /* Bytes of a flow; a sequence number further away is of another one.  */
 #define SPAN_MAX (1U << 24)
 
@@ -54,6 +57,8 @@
   uint32_t caller_ack; /* The latest of the caller.  */
   bool asked;          /* PROBED: an entry wants to know.  */
   bool busy;           /* A request is in progress.  */
+  uint64_t busy_since; /* ms  */
+  uint32_t busy_rank;  /* Requests in progress then, with this one.  */
   bool is_open;        /* Counted as an open flow.  */
   bool caller_closed;
   bool upstream_closed;
@@ -81,6 +86,7 @@
   uint64_t unanswered_since; /* ms of the first SYN since then; 0: none.  */
   uint32_t busy;             /* Requests in progress.  */
   uint32_t open;             /* Flows.  */
+  uint32_t work_us;          /* Mean time of a request in a slot.  */
 };
 
 /* Private functions.  */
@@ -97,7 +103,7 @@
                                           struct flow *flow,
                                           const struct hs_segment *segment,
                                           const struct hs_addr *entry,
-                                          bool ask);
+                                          bool ask, uint64_t now);
 static struct hs_sidecar_step take_returned (struct hs_sidecar *sidecar,
                                              const struct hs_segment *segment,
                                              uint64_t now);
@@ -111,9 +117,13 @@
 static void begin_start (struct hs_sidecar *sidecar,
                          const struct hs_heartbeat *heartbeat, uint64_t now);
 static void note_upstream (struct hs_sidecar *sidecar, struct flow *flow,
-                           const struct hs_segment *segment);
+                           const struct hs_segment *segment, uint64_t now);
+static void note_work (struct hs_sidecar *sidecar, const struct flow *flow,
+                       uint64_t now);
 static void set_busy (struct hs_sidecar *sidecar, struct flow *flow,
                       bool busy);
+static void begin_request (struct hs_sidecar *sidecar, struct flow *flow,
+                           uint64_t now);
 static void set_open (struct hs_sidecar *sidecar, struct flow *flow,
                       bool open);
 static bool is_of_another (const struct flow *flow,
@@ -220,7 +230,7 @@
       && now - flow->base.active_at <= NOT_HELD_MS)
     return deny (entry, ask);
   hs_flow_table_touch (sidecar->flows, &flow->base, now);
-  return take_known (sidecar, flow, segment, entry, ask);
+  return take_known (sidecar, flow, segment, entry, ask, now);
 }
 
 struct hs_sidecar_step
@@ -251,7 +261,7 @@
       flow->state = FLOW_OPEN;
       set_open (sidecar, flow, true);
     }
-  note_upstream (sidecar, flow, segment);
+  note_upstream (sidecar, flow, segment, now);
   note_end (sidecar, flow, segment);
   return answer;
 }
@@ -289,6 +299,7 @@
   report->busy = sidecar->busy;
   report->flows = sidecar->open;
   report->cold_ms = sidecar->last.cold_ms;
+  report->work_us = sidecar->work_us;
 }
 
 /* Private definitions.  */
@@ -340,14 +351,14 @@
   flow->asked = ask;
   flow->entry = *entry;
   if (segment->len > 0)
-    set_busy (sidecar, flow, true);
+    begin_request (sidecar, flow, now);
   return step (HS_SIDECAR_DELIVER, HS_REASON_NONE);
 }
 
 static struct hs_sidecar_step
 take_known (struct hs_sidecar *sidecar, struct flow *flow,
             const struct hs_segment *segment, const struct hs_addr *entry,
-            bool ask)
+            bool ask, uint64_t now)
 {
   struct hs_sidecar_step deliver = step (HS_SIDECAR_DELIVER, HS_REASON_NONE);
 
@@ -364,7 +375,7 @@
   if ((segment->flags & HS_SEGMENT_ACK) != 0)
     flow->caller_ack = segment->ack;
   if (segment->len > 0)
-    set_busy (sidecar, flow, true);
+    begin_request (sidecar, flow, now);
   note_end (sidecar, flow, segment);
   return deliver;
 }
@@ -467,7 +478,7 @@
 
 static void
 note_upstream (struct hs_sidecar *sidecar, struct flow *flow,
-               const struct hs_segment *segment)
+               const struct hs_segment *segment, uint64_t now)
 {
   unsigned int opening = HS_SEGMENT_SYN | HS_SEGMENT_ACK;
 
@@ -476,10 +487,28 @@
       flow->upstream_seq = segment->seq;
       flow->has_upstream_seq = true;
     }
+  if (segment->len > 0 && flow->busy)
+    note_work (sidecar, flow, now);
   if (segment->len > 0)
     set_busy (sidecar, flow, false);
 }
 
+/* A request that came to a full upstream shared its slots.  */
+static void
+note_work (struct hs_sidecar *sidecar, const struct flow *flow, uint64_t now)
+{
+  uint32_t slots = sidecar->last.slots != 0 ? sidecar->last.slots : 1;
+  uint32_t rank = flow->busy_rank > slots ? flow->busy_rank : slots;
+  uint64_t work_us = (now - flow->busy_since) * 1000 * slots / rank;
+
+  if (sidecar->work_us == 0)
+    sidecar->work_us = (uint32_t)work_us;
+  sidecar->work_us
+      = (uint32_t)(((100 - WORK_WEIGHT_PERCENT) * (uint64_t)sidecar->work_us
+                    + WORK_WEIGHT_PERCENT * work_us)
+                   / 100);
+}
+
 /* A copy of the SYN may have been answered by another upstream, whose
    handshake the caller has taken.  */
 static bool
@@ -515,6 +544,16 @@
   sidecar->busy += busy ? 1 : (uint32_t)-1;
 }
 
+static void
+begin_request (struct hs_sidecar *sidecar, struct flow *flow, uint64_t now)
+{
+  if (flow->busy)
+    return;
+  set_busy (sidecar, flow, true);
+  flow->busy_since = now;
+  flow->busy_rank = sidecar->busy;
+}
+
 static void
 set_open (struct hs_sidecar *sidecar, struct flow *flow, bool open)
 {
--- a/src/wire/inner.c
+++ b/src/wire/inner.c
@@ -15,7 +15,7 @@
 /* Elements of each type, with the type itself.  */
 static const uint8_t fields_of[HS_INNER_TYPES] = {
   [HS_INNER_FORWARD] = 5, [HS_INNER_REFUSED] = 5, [HS_INNER_HELD] = 7,
-  [HS_INNER_REPORT] = 13, [HS_INNER_SYNC] = 10,   [HS_INNER_STATUS] = 6,
+  [HS_INNER_REPORT] = 14, [HS_INNER_SYNC] = 10,   [HS_INNER_STATUS] = 6,
   [HS_INNER_FETCH] = 3,   [HS_INNER_PART] = 5,
 };
 
@@ -140,6 +140,7 @@
   msgpack_pack_uint32 (out, report->busy);
   msgpack_pack_uint32 (out, report->flows);
   msgpack_pack_uint32 (out, report->cold_ms);
+  msgpack_pack_uint32 (out, report->work_us);
   hs_pack_text (out, report->zone);
 }
 
@@ -235,6 +236,7 @@
   report->busy = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
   report->flows = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
   report->cold_ms = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
+  report->work_us = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
   hs_unpack_text (in, report->zone, sizeof report->zone);
 }
 
