Refuse by the expected wait for a slot

Cause: a limit on the whole expected time refuses everything where the work itself takes most of the objective, and the least busy one may have a slot free.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -852,9 +852,8 @@
                  const uint64_t *excluded, size_t excluded_len,
                  uint64_t now); /* For a new flow, which is counted; NULL:
                                    none takes it.  */
-uint64_t hs_fleet_expected_ms (const struct hs_backend *backend); /* Of a new
-                                             request until its answer begins;
-                                             0: not known.  */
+uint64_t hs_fleet_wait_us (const struct hs_backend *backend); /* Expected, of
+                                             a new request for a slot.  */
 const struct hs_backend *
 hs_fleet_least_busy (const struct hs_fleet *fleet, uint64_t service,
                      uint64_t now); /* Of any availability zone.  */
--- a/src/segment/fleet.c
+++ b/src/segment/fleet.c
@@ -144,13 +144,13 @@
 
 /* All slots work on what waits.  */
 uint64_t
-hs_fleet_expected_ms (const struct hs_backend *backend)
+hs_fleet_wait_us (const struct hs_backend *backend)
 {
   const struct hs_load_report *report = &backend->report;
   uint64_t slots = report->slots != 0 ? report->slots : SLOTS_UNKNOWN;
   uint64_t busy = report->busy + backend->placed + 1;
 
-  return report->work_us * (busy > slots ? busy : slots) / slots / 1000;
+  return busy > slots ? report->work_us * (busy - slots) / slots : 0;
 }
 
 const struct hs_backend *
@@ -167,7 +167,7 @@
       if (backend->report.service == service
           && hs_fleet_takes_flows (backend, now)
           && (best == NULL
-              || hs_fleet_expected_ms (backend) < hs_fleet_expected_ms (best)))
+              || hs_fleet_wait_us (backend) < hs_fleet_wait_us (best)))
         best = backend;
     }
   return best;
