Let a host vote whose joining is not in its log yet; leaner processes

Ruled out: a lost vote (the candidates asked for 14 s). Change: who is asked by its id votes; its own list does not matter.

Memory: segment daemons no longer load ZeroMQ, whose link is now a part that entries and agents of the other kinds add, and their pools are smaller.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -42,7 +42,7 @@
 {
   struct hs_agent *agent = talloc_zero (NULL, struct hs_agent);
   struct hs_datapath_settings path
-      = { settings->inner, settings->control, settings->admin, BATCHES };
+      = { settings->inner, settings->admin, BATCHES };
 
   agent->settings = *settings;
   agent->log = log;
@@ -52,8 +52,11 @@
   hs_agent_create_counters (agent);
   agent->path
       = hs_datapath_create (agent, &path, "decide", agent->counters, error);
-  if (agent->path == NULL)
+  if (agent->path == NULL
+      || !hs_datapath_add_link (agent->path, &settings->control, error))
     {
+      if (agent->path != NULL)
+        hs_datapath_destroy (agent->path);
       talloc_free (agent);
       return NULL;
     }
@@ -125,8 +128,8 @@
   hs_list_init (&agent->held);
   agent->catalog = hs_catalog_create (root);
   agent->locals = hs_locals_create (root, &agent->settings.upstream);
-  agent->outbox
-      = hs_outbox_create (root, agent->path->sending, agent->counters);
+  agent->outbox = hs_outbox_create (root, agent->path->sending, BATCHES,
+                                    agent->counters);
   agent->holder = hs_holder_create (root, agent->catalog, agent->slot,
                                     agent->incarnation, &holder_ops, agent);
   agent->tracker
--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -13,7 +13,7 @@
 
 /* Types.  */
 
-#define BATCHES 16
+#define BATCHES 6 /* Memory is dear: 128 KiB each at most.  */
 #define TAG_UPSTREAM 1
 #define CALLS_QUEUED 64
 
--- a/src/agent/state.h
+++ b/src/agent/state.h
@@ -7,7 +7,7 @@
 #include "agent/local.h"
 #include "agent/parking.h"
 #include "coap/coap_message.h"
-#include "daemon/datapath.h"
+#include "daemon/datapath_link.h"
 #include "daemon/node.h"
 #include "daemon/outbox.h"
 
--- a/src/consensus/replica.c
+++ b/src/consensus/replica.c
@@ -356,7 +356,9 @@
                                      .pre = message->pre,
                                      .round = message->term };
 
-  if (replica->members.len == 0)
+  /* A host whose joining is not in its own log yet may be needed for the
+     majority of those who have it.  */
+  if (message->to != replica->self.id)
     return;
   vote.granted = may_grant (replica, message, now);
   if (!message->pre && message->term > replica->term)
--- a/src/daemon/datapath.c
+++ b/src/daemon/datapath.c
@@ -7,7 +7,6 @@
 
 /* Types.  */
 
-#define MESSAGES_QUEUED 4096
 #define COMMANDS_QUEUED 4
 
 /* The outbox has batches of its own beside those of the pool.  */
@@ -34,7 +33,7 @@
   path->pool = hs_pool_create (path, settings->batches);
   path->received = hs_ring_create (path, settings->batches);
   path->sending = hs_ring_create (path, settings->batches * SENDING_FACTOR);
-  path->messages = hs_ring_create (path, MESSAGES_QUEUED);
+
   path->commands = hs_ring_create (path, COMMANDS_QUEUED);
   path->done = hs_ring_create (path, COMMANDS_QUEUED);
   path->decide = hs_duty_create (decide);
@@ -50,8 +49,8 @@
   hs_receiver_stop (path->receiver);
   hs_duty_stop (path->decide);
   hs_sender_stop (path->sender);
-  if (path->link != NULL)
-    hs_link_stop (path->link);
+  if (path->part.stop != NULL)
+    path->part.stop (path->part.ctx);
 }
 
 void
@@ -64,8 +63,8 @@
 hs_datapath_start (struct hs_datapath *path)
 {
   hs_sender_start (path->sender);
-  if (path->link != NULL)
-    hs_link_start (path->link);
+  if (path->part.start != NULL)
+    path->part.start (path->part.ctx);
   hs_duty_start (path->decide);
   hs_receiver_start (path->receiver);
 }
@@ -98,11 +97,6 @@
                     : hs_admin_create_within (path->counters);
   if (path->admin == NULL)
     return false;
-  if (settings->control.port != 0)
-    path->link = hs_link_connect (&settings->control, path->messages,
-                                  path->counters, error);
-  if (settings->control.port != 0 && path->link == NULL)
-    return false;
   path->sender = hs_sender_create (path->sending, path->counters);
   path->receiver = hs_receiver_create (path->pool, path->received,
                                        path->sender, path->counters);
@@ -113,19 +107,16 @@
 static void
 release (struct hs_datapath *path)
 {
-  void *envelope;
-
   if (path->admin != NULL)
     hs_admin_destroy (path->admin);
-  while ((envelope = hs_ring_pop (path->messages)) != NULL)
-    talloc_free (envelope);
+
   hs_duty_destroy (path->decide);
   if (path->receiver != NULL)
     hs_receiver_destroy (path->receiver);
   if (path->sender != NULL)
     hs_sender_destroy (path->sender);
-  if (path->link != NULL)
-    hs_link_destroy (path->link);
+  if (path->part.destroy != NULL)
+    path->part.destroy (path->part.ctx);
   if (path->inner_fd >= 0)
     close (path->inner_fd);
   talloc_free (path);
--- a/src/daemon/datapath.h
+++ b/src/daemon/datapath.h
@@ -1,12 +1,12 @@
 /* datapath.h -- the threads and rings around the decisions of an entry or an
-   agent: receive, send, link and admin.  */
+   agent: receive, send and admin, and one part more, such as a link.  */
 
 #ifndef HS_DAEMON_DATAPATH_H
 #define HS_DAEMON_DATAPATH_H
 
 #include "base/duty.h"
 #include "daemon/admin.h"
-#include "daemon/link.h"
+
 #include "daemon/receiver.h"
 
 #define HS_TAG_INNER 0 /* Of packets that came by the inner socket.  */
@@ -14,11 +14,21 @@
 struct hs_datapath_settings
 {
   struct hs_addr inner;
-  struct hs_addr control; /* Port 0: no control link.  */
-  struct hs_addr admin;   /* Port 0: no server.  */
+
+  struct hs_addr admin; /* Port 0: no server.  */
   size_t batches;
 };
 
+struct hs_link;
+
+struct hs_datapath_part
+{
+  void (*start) (void *ctx); /* NULL: there is no part.  */
+  void (*stop) (void *ctx);
+  void (*destroy) (void *ctx);
+  void *ctx;
+};
+
 /* The duty DECIDE is the owner's: it takes batches from RECEIVED, envelopes
    from MESSAGES and commands from COMMANDS, and gives batches to SENDING.  */
 struct hs_datapath
@@ -27,12 +37,13 @@
   struct hs_ring *pool;
   struct hs_ring *received; /* Of struct hs_batch.  */
   struct hs_ring *sending;  /* Of struct hs_batch.  */
-  struct hs_ring *messages; /* Of struct hs_envelope.  */
+  struct hs_ring *messages; /* Of struct hs_envelope; NULL: no link.  */
   struct hs_ring *commands; /* Of hs_duty_fn.  */
   struct hs_ring *done;     /* An item: the command has been carried out.  */
   struct hs_receiver *receiver;
   struct hs_sender *sender;
-  struct hs_link *link;
+  struct hs_datapath_part part;
+  struct hs_link *link; /* See datapath_link.h.  */
   struct hs_admin *admin;
   struct hs_duty *decide;
   int inner_fd;
--- a/src/daemon/front.c
+++ b/src/daemon/front.c
@@ -2,13 +2,14 @@
 
 #include "daemon/front.h"
 #include "base/auto.h"
-#include "daemon/node.h"
+#include "base/duty.h"
 
 #include <string.h>
 
 /* Types.  */
 
 #define SEEDS_QUEUED 4
+#define OUTBOX_BATCHES 8
 #define STATUS_OK 200
 #define STATUS_NOT_FOUND 404
 #define STATUS_UNAVAILABLE 503
@@ -50,7 +51,7 @@
   front->log = log;
   front->counters = counters;
   front->slot = hs_slot_from_name (settings->name);
-  front->incarnation = hs_incarnation_create ();
+  front->incarnation = hs_clock_wall ();
   front->seeds = hs_ring_create (front, SEEDS_QUEUED);
   front->malformed = hs_counter_create (
       counters, "malformed_total", "Datagrams that do not decode, dropped.");
@@ -195,8 +196,8 @@
 
   g_strlcpy (self.name, front->settings.name, HS_NAME_SIZE);
   g_strlcpy (self.zone, front->settings.zone, HS_NAME_SIZE);
-  front->outbox
-      = hs_outbox_create (root, front->path->sending, front->counters);
+  front->outbox = hs_outbox_create (root, front->path->sending, OUTBOX_BATCHES,
+                                    front->counters);
   front->follower = hs_follower_create (root, &self, &ops, front);
   hs_follower_set_seeds (front->follower, &front->settings.seeds,
                          (uint16_t)front->settings.seed_port);
--- a/src/daemon/outbox.c
+++ b/src/daemon/outbox.c
@@ -6,8 +6,6 @@
 
 /* Types.  */
 
-#define BATCHES 64
-
 struct hs_outbox
 {
   struct hs_ring *pool;
@@ -19,12 +17,12 @@
 /* Public definitions.  */
 
 struct hs_outbox *
-hs_outbox_create (void *parent, struct hs_ring *out,
+hs_outbox_create (void *parent, struct hs_ring *out, size_t batches,
                   struct hs_counters *counters)
 {
   struct hs_outbox *outbox = talloc_zero (parent, struct hs_outbox);
 
-  outbox->pool = hs_pool_create (outbox, BATCHES);
+  outbox->pool = hs_pool_create (outbox, batches);
   outbox->out = out;
   outbox->dropped
       = hs_counter_create (counters, "outbox_dropped_total",
--- a/src/daemon/outbox.h
+++ b/src/daemon/outbox.h
@@ -12,6 +12,7 @@
 struct hs_outbox;
 
 struct hs_outbox *hs_outbox_create (void *parent, struct hs_ring *out,
+                                    size_t batches,
                                     struct hs_counters *counters);
 void hs_outbox_destroy (struct hs_outbox *outbox);
 struct hs_packet *hs_outbox_add (struct hs_outbox *outbox); /* NULL: no batch
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -6,7 +6,7 @@
 
 #include "entry/entry.h"
 #include "base/auto.h"
-#include "daemon/datapath.h"
+#include "daemon/datapath_link.h"
 #include "daemon/frame.h"
 #include "daemon/node.h"
 #include "daemon/process.h"
@@ -101,7 +101,7 @@
 {
   struct hs_entry *entry = talloc_zero (NULL, struct hs_entry);
   struct hs_datapath_settings path
-      = { settings->inner, settings->control, settings->admin, BATCHES };
+      = { settings->inner, settings->admin, BATCHES };
 
   entry->settings = *settings;
   entry->log = log;
@@ -109,8 +109,11 @@
   create_counters (entry);
   entry->path
       = hs_datapath_create (entry, &path, "place", entry->counters, error);
-  if (entry->path == NULL)
+  if (entry->path == NULL
+      || !hs_datapath_add_link (entry->path, &settings->control, error))
     {
+      if (entry->path != NULL)
+        hs_datapath_destroy (entry->path);
       talloc_free (entry);
       return NULL;
     }
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -14,7 +14,7 @@
 
 /* Types.  */
 
-#define BATCHES 16
+#define BATCHES 6 /* Memory is dear: 128 KiB each at most.  */
 #define TAG_SEGMENTS 1
 
 /* After a start, for all agents to have heard of this entry: a round of the
