Deny and reset flows of upstreams that are gone

An agent's denial counted only while the entry already knew the fleet to be complete, and was not looked at again; agents whose upstream had left denied nothing; and agents of hosts that were taken away were waited for for 15 s. Ruled out: placing (new flows were served from 37.2 s on).

Change: a repeated denial is weighed again; an agent that has heard no heartbeat for two intervals since its start denies; an agent is forgotten after 5.5 s.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -798,8 +798,9 @@
 /* Silence after which an agent gets no new flows: three reports lost.  */
 #define HS_FLEET_FRESH_MS 700
 
-/* Silence after which an agent is forgotten: longer than any restart.  */
-#define HS_FLEET_LIFE_MS 15000
+/* Silence after which an agent is forgotten, and flows that it may hold are no
+   longer waited for: longer than a restart.  */
+#define HS_FLEET_LIFE_MS 5500
 
 enum hs_backend_state
 {
--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -28,6 +28,10 @@
 /* Heartbeats that are missed until the upstream counts as silent.  */
 #define HEARTBEATS_MISSED 3
 
+/* Heartbeats that are missed from the agent's start on until there is no
+   upstream here whose flows could be learned.  */
+#define HEARTBEATS_FIRST 2
+
 /* Time without any sign of the upstream after a SYN, whose handshake takes
    less than 10 ms, until it counts as silent.  */
 #define UNANSWERED_MS 150
@@ -71,6 +75,7 @@
   struct hs_addr upstream;
   uint64_t heartbeat_ms;
   uint64_t started_wall; /* ms  */
+  uint64_t ticked_first; /* ms; 0: not yet.  */
   struct hs_sidecar_ops ops;
   void *ctx;
   struct hs_flow_table *flows;
@@ -229,6 +234,8 @@
   if (flow->state == FLOW_NOT_HELD
       && now - flow->base.active_at <= NOT_HELD_MS)
     return deny (entry, ask);
+  if (flow->state == FLOW_PROBED && sidecar->learn_until == 0 && ask)
+    return deny (entry, ask);
   hs_flow_table_touch (sidecar->flows, &flow->base, now);
   return take_known (sidecar, flow, segment, entry, ask, now);
 }
@@ -271,6 +278,12 @@
 {
   uint64_t silence_ms = HEARTBEATS_MISSED * sidecar->heartbeat_ms;
 
+  if (sidecar->ticked_first == 0)
+    sidecar->ticked_first = now;
+  if (sidecar->last.born == 0
+      && now - sidecar->ticked_first
+             > HEARTBEATS_FIRST * sidecar->heartbeat_ms)
+    sidecar->learn_until = 0;
   hs_flow_table_expire (sidecar->flows, FLOW_IDLE_MS, now);
   if (sidecar->learn_until != 0 && now >= sidecar->learn_until)
     sidecar->learn_until = 0;
--- a/src/segment/steering.c
+++ b/src/segment/steering.c
@@ -179,12 +179,14 @@
 {
   struct flow *flow = hs_flow_table_find (steering->flows, key);
 
-  if (flow == NULL || flow->holder != 0 || flow->tried_len > 0
-      || is_denied_by (flow, slot) || flow->denied_len == HS_STEER_MAX)
+  if (flow == NULL || flow->holder != 0 || flow->tried_len > 0)
     return false;
-  flow->denied
-      = talloc_realloc (flow, flow->denied, uint64_t, flow->denied_len + 1);
-  flow->denied[flow->denied_len++] = slot;
+  if (!is_denied_by (flow, slot) && flow->denied_len < HS_STEER_MAX)
+    {
+      flow->denied = talloc_realloc (flow, flow->denied, uint64_t,
+                                     flow->denied_len + 1);
+      flow->denied[flow->denied_len++] = slot;
+    }
   if (!steering->complete || !is_denied_by_all (steering, flow))
     return false;
   *segment = (struct hs_segment){ .from = key->caller,
--- a/tests/fakes/group.c
+++ b/tests/fakes/group.c
@@ -105,7 +105,7 @@
   uint64_t lossy_until;
   uint64_t doubled_until;
   uint64_t halves_until;
-  bool founded; /* Some disk has held something: no first start again.  */
+  bool founded[SEEDS]; /* Its disk has held something.  */
   uint64_t next_version;
   uint64_t acknowledged; /* The highest.  */
   uint64_t acknowledged_at;
@@ -182,7 +182,7 @@
       = host->image_pending || all_gone ? 0 : next_random (host->world) % 4;
 
   move_records (&host->unsynced, &host->durable, kept);
-  host->world->founded |= kept > 0;
+
   clear_records (&host->unsynced);
 }
 
@@ -447,7 +447,7 @@
         host->self.id = record->id;
       hs_replica_load (replica, record);
     }
-  if (bootstrap && host->number < SEEDS)
+  if (bootstrap && host->number < SEEDS && hs_list_is_empty (&host->durable))
     {
       host->self.id = world->seeds.hosts[host->number].id;
       hs_replica_found (replica, host->self.id, &world->seeds);
@@ -501,7 +501,8 @@
     }
   /* The sync may cover later writes, too: never fewer.  */
   move_records (&host->unsynced, &host->durable, SIZE_MAX);
-  host->world->founded = true;
+  if (host->number < SEEDS)
+    host->world->founded[host->number] = true;
   if (host->disk_failed)
     hs_replica_set_disk (host->replica, true);
   host->disk_failed = false;
@@ -592,6 +593,18 @@
   host->pending_len = len;
 }
 
+/* The system starts for the first time until a majority of the first group
+   has anything on disk.  */
+static bool
+is_first_start (const struct world *world)
+{
+  size_t founded = 0;
+
+  for (size_t i = 0; i < SEEDS; i++)
+    founded += world->founded[i];
+  return founded <= SEEDS / 2;
+}
+
 static void
 handle (struct world *world, struct event *event)
 {
@@ -605,7 +618,7 @@
   if (event->kind == EVENT_RESTART)
     {
       if (!host->gone && host->replica == NULL)
-        start_host (host, !world->founded);
+        start_host (host, is_first_start (world));
       return;
     }
   if (host->replica == NULL
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -601,6 +601,10 @@
   g_assert_false (hs_steering_denied (entry.steering, &key,
                                       hs_slot_from_name ("z"), &reset));
   hs_steering_set_complete (entry.steering, true);
+  /* What it was told before counts once it knows of all.  */
+  hs_steering_route (entry.steering, &data, 10);
+  g_assert_true (hs_steering_denied (entry.steering, &key,
+                                     hs_slot_from_name ("x"), &reset));
   data.from.port = 10;
   key.caller = data.from;
   hs_steering_route (entry.steering, &data, 0);
@@ -795,6 +799,33 @@
   talloc_free (root);
 }
 
+/* The upstream beside this agent has ended with its host's power.  */
+static void
+test_denied_without_upstream (void)
+{
+  void *root = talloc_new (NULL);
+  struct lost lost = { 0 };
+  struct hs_sidecar *sidecar = sidecar_create (root, &lost, 5000);
+  struct hs_segment data = segment_of (HS_SEGMENT_ACK, 9, 101, 501, 50);
+  struct hs_sidecar_step step;
+
+  hs_sidecar_tick (sidecar, 100);
+  step = from_entry (sidecar, &data, true, 200);
+  g_assert_cmpint (step.claim, ==, HS_CLAIM_NONE);
+  hs_sidecar_tick (sidecar, 2200);
+  step = from_entry (sidecar, &data, true, 2200);
+  g_assert_cmpint (step.claim, ==, HS_CLAIM_DENIED);
+  data.from.port = 10;
+  step = from_entry (sidecar, &data, true, 2200);
+  g_assert_cmpint (step.claim, ==, HS_CLAIM_DENIED);
+  /* One that was there before speaks up after all.  */
+  beat (sidecar, HS_UPSTREAM_READY, 2000, 1, 2300);
+  data.from.port = 11;
+  step = from_entry (sidecar, &data, true, 2300);
+  g_assert_cmpint (step.action, ==, HS_SIDECAR_DELIVER);
+  talloc_free (root);
+}
+
 /* Two upstreams answered copies of one SYN: the caller took the other's.  */
 static void
 test_other_handshake_denied (void)
@@ -931,6 +962,8 @@
   g_test_add_func ("/segment/probed-reset",
                    test_reset_of_probed_upstream_kept);
   g_test_add_func ("/segment/unknown-denied", test_unknown_flow_denied);
+  g_test_add_func ("/segment/denied-without-upstream",
+                   test_denied_without_upstream);
   g_test_add_func ("/segment/other-handshake", test_other_handshake_denied);
   g_test_add_func ("/segment/new-start", test_new_start_loses_flows);
   g_test_add_func ("/segment/requests-counted", test_requests_counted);
