Do not wait for agents that cannot hold a flow

A trace of the flows asked for after 39.5 s: all were reset, but 4.6 s later. One agent had come back beside an upstream that was being taken away, and was itself gone at 38.2 s; its denial was missing for all flows asked for later, until it was forgotten.

Change: agents whose upstream said goodbye, never was there, or only resets are not asked; nor are those that had not heard of their upstream and are silent themselves. Flows denied before the fleet is complete are reset once it is. Agents report to a new entry at once.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -822,6 +822,7 @@
   uint32_t flows;   /* Open.  */
   uint32_t cold_ms; /* How much longer the upstream is slow.  */
   uint32_t work_us; /* Mean time in a slot of a request; 0: not known.  */
+  bool vacant;      /* No upstream is there that could hold a flow.  */
   char zone[HS_NAME_SIZE];
 };
 
@@ -859,8 +860,9 @@
 hs_fleet_least_busy (const struct hs_fleet *fleet, uint64_t service,
                      uint64_t now); /* Of any availability zone.  */
 size_t hs_fleet_of_service (const struct hs_fleet *fleet, uint64_t service,
-                            const struct hs_backend **backends,
-                            size_t max); /* 0: of every service.  */
+                            const struct hs_backend **backends, size_t max,
+                            uint64_t now); /* Those that may hold a flow; 0: of
+                                              every service.  */
 void hs_fleet_expire (struct hs_fleet *fleet, uint64_t now);
 
 /* Steering: what an entry does with a segment of a caller.  */
@@ -889,11 +891,20 @@
 
 struct hs_steering;
 
-struct hs_steering *hs_steering_create (void *parent, struct hs_fleet *fleet);
+struct hs_steering_ops
+{
+  /* Nobody holds the flow; SEGMENT is one of its caller, to be answered by a
+     reset.  */
+  void (*reset) (void *ctx, const struct hs_segment *segment);
+};
+
+struct hs_steering *hs_steering_create (void *parent, struct hs_fleet *fleet,
+                                        const struct hs_steering_ops *ops,
+                                        void *ctx);
 void hs_steering_destroy (struct hs_steering *steering);
-void hs_steering_set_complete (struct hs_steering *steering,
-                               bool complete); /* Every agent that lives has
-                                          reported: false at first.  */
+void hs_steering_set_complete (struct hs_steering *steering, bool complete,
+                               uint64_t now); /* Every agent that lives has
+                                                 reported: false at first.  */
 void hs_steering_set_routing (struct hs_steering *steering,
                               const struct hs_routing *routing); /* Kept by
                                                          the caller.  */
@@ -908,11 +919,9 @@
                        const struct hs_segment_key *key, uint64_t slot,
                        uint64_t now);
 
-/* The agent SLOT does not hold the flow that it was asked for.  True: nobody
-   does, and SEGMENT is one of its caller, to be answered by a reset.  */
-bool hs_steering_denied (struct hs_steering *steering,
+void hs_steering_denied (struct hs_steering *steering,
                          const struct hs_segment_key *key, uint64_t slot,
-                         struct hs_segment *segment);
+                         uint64_t now); /* That agent does not hold it.  */
 void hs_steering_expire (struct hs_steering *steering, uint64_t now);
 size_t hs_steering_flows (const struct hs_steering *steering);
 
--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -84,6 +84,7 @@
 static void on_inner (void *ctx, struct hs_packet *packet,
                       const struct hs_inner *inner, uint64_t now);
 static void on_configuration (void *ctx, const uint8_t *bytes, size_t len);
+static void on_entries (void *ctx);
 static void on_tick (void *ctx, uint64_t now);
 static void on_drain (void *ctx, uint64_t now);
 static void carry_out (struct hs_segment_agent *agent,
@@ -212,8 +213,8 @@
                                      .seed_port = settings->seed_port,
                                      .batches = BATCHES,
                                      .dialect = settings->dialect };
-  struct hs_front_ops ops
-      = { on_packet, on_inner, on_configuration, on_tick, on_drain };
+  struct hs_front_ops ops = { on_packet,  on_inner, on_configuration,
+                              on_entries, on_tick,  on_drain };
   struct hs_sidecar_ops sidecar_ops = { on_flow_lost };
   struct hs_duty *decide;
 
@@ -396,6 +397,12 @@
   (void)len;
 }
 
+static void
+on_entries (void *ctx)
+{
+  send_reports (ctx, hs_clock_now ());
+}
+
 static void
 on_tick (void *ctx, uint64_t now)
 {
--- a/src/daemon/follower.c
+++ b/src/daemon/follower.c
@@ -13,7 +13,7 @@
 
 /* The same, until what is needed to serve is known.  */
 #define ASKED_AT_FIRST 3
-#define FIRST_ROUND_MS 200
+#define FIRST_ROUND_MS 100
 
 /* Parts asked for before the first of them has come.  */
 #define FETCH_AHEAD 8
@@ -75,7 +75,7 @@
                          const struct hs_inner_status *status, uint64_t now);
 static void take_entries (struct hs_follower *follower,
                           const struct hs_inner_addrs *entries, uint64_t now);
-static void note_entry (struct hs_follower *follower,
+static bool note_entry (struct hs_follower *follower,
                         const struct hs_addr *address, uint64_t now);
 static void expire_entries (struct hs_follower *follower, uint64_t now);
 static void begin_fetch (struct hs_follower *follower,
@@ -231,12 +231,17 @@
 take_entries (struct hs_follower *follower,
               const struct hs_inner_addrs *entries, uint64_t now)
 {
+  bool added = false;
+
   for (size_t i = 0; i < entries->len; i++)
-    note_entry (follower, &entries->values[i], now);
+    added |= note_entry (follower, &entries->values[i], now);
   expire_entries (follower, now);
+  if (added)
+    follower->ops.entries (follower->ctx);
 }
 
-static void
+/* Whether it is new.  */
+static bool
 note_entry (struct hs_follower *follower, const struct hs_addr *address,
             uint64_t now)
 {
@@ -244,13 +249,14 @@
     if (hs_addr_equal (&follower->listed[i].address, address))
       {
         follower->listed[i].listed_at = now;
-        return;
+        return false;
       }
   if (follower->listed_len == HS_INNER_ADDRS_MAX)
-    return;
+    return false;
   follower->listed[follower->listed_len].address = *address;
   follower->listed[follower->listed_len].listed_at = now;
   follower->listed_len++;
+  return true;
 }
 
 /* A control host that has just started lists few: an entry stays for a while
--- a/src/daemon/follower.h
+++ b/src/daemon/follower.h
@@ -17,6 +17,7 @@
   void (*send) (void *ctx, const struct hs_addr *to,
                 const struct hs_inner *inner);
   void (*configuration) (void *ctx, const uint8_t *bytes, size_t len);
+  void (*entries) (void *ctx);         /* An entry is new in the list.  */
   void (*lost) (void *ctx, bool lost); /* The whole group is silent; or one
                                           of it has answered again.  */
 };
--- a/src/daemon/front.c
+++ b/src/daemon/front.c
@@ -30,6 +30,7 @@
 static void on_follower_send (void *ctx, const struct hs_addr *to,
                               const struct hs_inner *inner);
 static void on_configuration (void *ctx, const uint8_t *bytes, size_t len);
+static void on_entries (void *ctx);
 static void on_group_lost (void *ctx, bool lost);
 static void on_request (void *ctx, struct hs_http_request *request);
 
@@ -187,7 +188,7 @@
 create_follower (struct hs_front *front)
 {
   struct hs_follower_ops ops
-      = { on_follower_send, on_configuration, on_group_lost };
+      = { on_follower_send, on_configuration, on_entries, on_group_lost };
   struct hs_inner_sync self = { .role = front->settings.role,
                                 .slot = front->slot,
                                 .incarnation = front->incarnation,
@@ -325,6 +326,14 @@
   front->ops.configuration (front->ctx, bytes, len);
 }
 
+static void
+on_entries (void *ctx)
+{
+  struct hs_front *front = ctx;
+
+  front->ops.entries (front->ctx);
+}
+
 static void
 on_group_lost (void *ctx, bool lost)
 {
--- a/src/daemon/front.h
+++ b/src/daemon/front.h
@@ -33,6 +33,7 @@
                  const struct hs_inner *inner,
                  uint64_t now); /* What stands behind it is in PACKET.  */
   void (*configuration) (void *ctx, const uint8_t *bytes, size_t len);
+  void (*entries) (void *ctx); /* One is new in the follower's list.  */
   void (*tick) (void *ctx, uint64_t now);
   void (*drain) (void *ctx, uint64_t now); /* hs_front_drained ends it.  */
 };
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -76,9 +76,11 @@
                         const struct hs_inner_header *header, uint64_t now);
 static void on_claim (struct hs_segment_entry *entry,
                       const struct hs_inner_held *claim, uint64_t now);
+static void on_reset (void *ctx, const struct hs_segment *segment);
 static void on_report (struct hs_segment_entry *entry,
                        const struct hs_load_report *report, uint64_t now);
 static void on_configuration (void *ctx, const uint8_t *bytes, size_t len);
+static void on_entries (void *ctx);
 static void on_tick (void *ctx, uint64_t now);
 static void on_drain (void *ctx, uint64_t now);
 static void carry_out (struct hs_segment_entry *entry,
@@ -110,8 +112,9 @@
                                      .seed_port = settings->seed_port,
                                      .batches = BATCHES,
                                      .dialect = settings->dialect };
-  struct hs_front_ops ops
-      = { on_packet, on_inner, on_configuration, on_tick, on_drain };
+  struct hs_front_ops ops = { on_packet,  on_inner, on_configuration,
+                              on_entries, on_tick,  on_drain };
+  struct hs_steering_ops steering = { on_reset };
 
   entry->settings = *settings;
   entry->log = log;
@@ -129,8 +132,8 @@
       return NULL;
     }
   entry->fleet = hs_fleet_create (entry->front->path->decide, settings->zone);
-  entry->steering
-      = hs_steering_create (entry->front->path->decide, entry->fleet);
+  entry->steering = hs_steering_create (entry->front->path->decide,
+                                        entry->fleet, &steering, entry);
   hs_receiver_watch (entry->front->path->receiver, entry->segments_fd,
                      TAG_SEGMENTS);
   return entry;
@@ -237,24 +240,26 @@
 on_claim (struct hs_segment_entry *entry, const struct hs_inner_held *claim,
           uint64_t now)
 {
-  struct hs_steer steer
-      = { .kind = HS_STEER_RESET, .reason = HS_REASON_WRONG_HOST };
-  struct hs_segment segment;
-  struct hs_packet *packet;
-
-  if (claim->held)
+  if (!claim->held)
     {
-      hs_counter_add (entry->counts.held, 1);
-      hs_steering_held (entry->steering, &claim->key, claim->slot, now);
+      hs_steering_denied (entry->steering, &claim->key, claim->slot, now);
       return;
     }
-  if (!hs_steering_denied (entry->steering, &claim->key, claim->slot,
-                           &segment))
-    return;
-  log_steer (entry, &segment, &steer, now);
-  packet = hs_outbox_add (entry->front->outbox);
+  hs_counter_add (entry->counts.held, 1);
+  hs_steering_held (entry->steering, &claim->key, claim->slot, now);
+}
+
+static void
+on_reset (void *ctx, const struct hs_segment *segment)
+{
+  struct hs_segment_entry *entry = ctx;
+  struct hs_steer steer
+      = { .kind = HS_STEER_RESET, .reason = HS_REASON_WRONG_HOST };
+  struct hs_packet *packet = hs_outbox_add (entry->front->outbox);
+
+  log_steer (entry, segment, &steer, hs_clock_now ());
   if (packet != NULL)
-    reset (entry, packet, &segment);
+    reset (entry, packet, segment);
 }
 
 static void
@@ -327,6 +332,13 @@
                 "routes", (int)configuration->routes_len);
 }
 
+/* Entries have no use for each other.  */
+static void
+on_entries (void *ctx)
+{
+  (void)ctx;
+}
+
 static void
 on_tick (void *ctx, uint64_t now)
 {
@@ -336,7 +348,7 @@
   hs_fleet_expire (entry->fleet, now);
   hs_counter_set (entry->counts.flows, hs_steering_flows (entry->steering));
   hs_steering_set_complete (entry->steering,
-                            now - entry->started_at >= COMPLETE_MS);
+                            now - entry->started_at >= COMPLETE_MS, now);
   update_ready (entry, now);
   if (entry->draining_since == 0 || now - entry->draining_since < DRAIN_MIN_MS)
     return;
@@ -469,6 +481,6 @@
   if (entry->draining_since != 0)
     return;
   if (entry->routing != NULL && now - entry->started_at >= SETTLE_MS
-      && hs_fleet_of_service (entry->fleet, 0, &any, 1) > 0)
+      && hs_fleet_of_service (entry->fleet, 0, &any, 1, now) > 0)
     hs_front_set_ready (entry->front, NULL);
 }
--- a/src/segment/fleet.c
+++ b/src/segment/fleet.c
@@ -37,6 +37,8 @@
 
 /* Private functions.  */
 
+static bool may_hold_flows (const struct hs_backend *backend, uint64_t now);
+
 static bool match_slot (const struct hs_table_node *node, const void *key);
 static struct hs_backend *find (const struct hs_fleet *fleet, uint64_t slot);
 static bool is_later (const struct hs_load_report *report,
@@ -175,7 +177,8 @@
 
 size_t
 hs_fleet_of_service (const struct hs_fleet *fleet, uint64_t service,
-                     const struct hs_backend **backends, size_t max)
+                     const struct hs_backend **backends, size_t max,
+                     uint64_t now)
 {
   size_t len = 0;
 
@@ -184,7 +187,8 @@
       const struct hs_backend *backend
           = HS_LIST_ENTRY (link, struct hs_backend, link);
 
-      if (len < max && (service == 0 || backend->report.service == service))
+      if (len < max && may_hold_flows (backend, now)
+          && (service == 0 || backend->report.service == service))
         backends[len++] = backend;
     }
   return len;
@@ -208,6 +212,17 @@
 
 /* Private definitions.  */
 
+/* An agent that had not heard of its upstream and is silent itself has most
+   likely been taken away with it.  */
+static bool
+may_hold_flows (const struct hs_backend *backend, uint64_t now)
+{
+  bool silent = now - backend->heard_at > HS_FLEET_FRESH_MS;
+
+  return !backend->report.vacant
+         && !(silent && backend->report.state == HS_BACKEND_ABSENT);
+}
+
 static bool
 match_slot (const struct hs_table_node *node, const void *key)
 {
--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -32,6 +32,10 @@
    upstream here whose flows could be learned.  */
 #define HEARTBEATS_FIRST 2
 
+/* Segments that are reset, with none that is answered otherwise, from which
+   on there is no upstream at the address.  */
+#define RESETS_VACANT 3
+
 /* Time without any sign of the upstream after a SYN, whose handshake takes
    less than 10 ms, until it counts as silent.  */
 #define UNANSWERED_MS 150
@@ -88,6 +92,8 @@
   uint64_t cold_until;       /* ms  */
   uint64_t learn_until;      /* ms; 0: every flow is known.  */
   uint64_t spoke_at;         /* ms of its last segment.  */
+  uint32_t only_resets;      /* Of it, while it has sent nothing else.  */
+  bool speaks;               /* It has sent something else.  */
   uint64_t unanswered_since; /* ms of the first SYN since then; 0: none.  */
   uint32_t busy;             /* Requests in progress.  */
   uint32_t open;             /* Flows.  */
@@ -96,6 +102,7 @@
 
 /* Private functions.  */
 
+static bool is_vacant (const struct hs_sidecar *sidecar);
 static struct hs_sidecar_step take_syn (struct hs_sidecar *sidecar,
                                         const struct hs_segment *segment,
                                         const struct hs_addr *entry,
@@ -249,6 +256,10 @@
   struct flow *flow;
 
   sidecar->spoke_at = now;
+  if ((segment->flags & HS_SEGMENT_RST) == 0)
+    sidecar->speaks = true;
+  else if (!sidecar->speaks)
+    sidecar->only_resets++;
   sidecar->unanswered_since = 0;
   if ((segment->flags & HS_SEGMENT_RETURNED) != 0)
     return take_returned (sidecar, segment, now);
@@ -313,10 +324,20 @@
   report->flows = sidecar->open;
   report->cold_ms = sidecar->last.cold_ms;
   report->work_us = sidecar->work_us;
+  report->vacant = is_vacant (sidecar);
 }
 
 /* Private definitions.  */
 
+/* Its flows, if it ever had any, are gone for sure.  */
+static bool
+is_vacant (const struct hs_sidecar *sidecar)
+{
+  if (sidecar->last.born != 0)
+    return sidecar->state == HS_UPSTREAM_GONE && sidecar->open == 0;
+  return sidecar->learn_until == 0 || sidecar->only_resets >= RESETS_VACANT;
+}
+
 static struct hs_sidecar_step
 take_syn (struct hs_sidecar *sidecar, const struct hs_segment *segment,
           const struct hs_addr *entry, uint64_t now)
--- a/src/segment/steering.c
+++ b/src/segment/steering.c
@@ -47,8 +47,11 @@
 struct hs_steering
 {
   struct hs_fleet *fleet;
+  struct hs_steering_ops ops;
+  void *ctx;
   const struct hs_routing *routing; /* NULL: none yet.  */
   bool complete; /* No agent that lives is missing in the fleet.  */
+  uint64_t now;  /* When that was said, ms.  */
   struct hs_flow_table *flows;
 };
 
@@ -71,10 +74,14 @@
                                  const struct flow *flow);
 static struct hs_steer ask_all (struct hs_steering *steering,
                                 struct flow *flow,
-                                const struct hs_segment *segment);
+                                const struct hs_segment *segment,
+                                uint64_t now);
+static void on_complete (void *ctx, struct hs_segment_flow *base);
+static void reset_if_denied (struct hs_steering *steering, struct flow *flow,
+                             uint64_t now);
 static bool is_denied_by (const struct flow *flow, uint64_t slot);
 static bool is_denied_by_all (const struct hs_steering *steering,
-                              const struct flow *flow);
+                              const struct flow *flow, uint64_t now);
 static struct hs_steer to_one (const struct hs_backend *backend, bool placed);
 static struct hs_steer without (enum hs_steer_kind kind,
                                 enum hs_reason reason);
@@ -85,11 +92,14 @@
 /* Public definitions.  */
 
 struct hs_steering *
-hs_steering_create (void *parent, struct hs_fleet *fleet)
+hs_steering_create (void *parent, struct hs_fleet *fleet,
+                    const struct hs_steering_ops *ops, void *ctx)
 {
   struct hs_steering *steering = talloc_zero (parent, struct hs_steering);
 
   steering->fleet = fleet;
+  steering->ops = *ops;
+  steering->ctx = ctx;
   steering->flows = hs_flow_table_create (steering, sizeof (struct flow),
                                           HS_STEERING_FLOWS_MAX, NULL, NULL);
   return steering;
@@ -102,9 +112,15 @@
 }
 
 void
-hs_steering_set_complete (struct hs_steering *steering, bool complete)
+hs_steering_set_complete (struct hs_steering *steering, bool complete,
+                          uint64_t now)
 {
+  bool now_complete = complete && !steering->complete;
+
   steering->complete = complete;
+  steering->now = now;
+  if (now_complete)
+    hs_flow_table_each (steering->flows, on_complete, steering);
 }
 
 void
@@ -134,7 +150,7 @@
     return to_holder (steering, flow);
   if (flow->holder == 0 && flow->tried_len > 1)
     return to_tried (steering, flow);
-  return ask_all (steering, flow, segment);
+  return ask_all (steering, flow, segment, now);
 }
 
 struct hs_steer
@@ -172,29 +188,23 @@
   get_flow (steering, key, now)->holder = slot;
 }
 
-bool
+void
 hs_steering_denied (struct hs_steering *steering,
                     const struct hs_segment_key *key, uint64_t slot,
-                    struct hs_segment *segment)
+                    uint64_t now)
 {
   struct flow *flow = hs_flow_table_find (steering->flows, key);
 
   if (flow == NULL || flow->holder != 0 || flow->tried_len > 0)
-    return false;
+    return;
   if (!is_denied_by (flow, slot) && flow->denied_len < HS_STEER_MAX)
     {
       flow->denied = talloc_realloc (flow, flow->denied, uint64_t,
                                      flow->denied_len + 1);
       flow->denied[flow->denied_len++] = slot;
     }
-  if (!steering->complete || !is_denied_by_all (steering, flow))
-    return false;
-  *segment = (struct hs_segment){ .from = key->caller,
-                                  .to = key->address,
-                                  .flags = HS_SEGMENT_ACK,
-                                  .ack = flow->caller_ack };
-  hs_flow_table_remove (steering->flows, &flow->base);
-  return true;
+  if (steering->complete)
+    reset_if_denied (steering, flow, now);
 }
 
 void
@@ -323,7 +333,7 @@
 
 static struct hs_steer
 ask_all (struct hs_steering *steering, struct flow *flow,
-         const struct hs_segment *segment)
+         const struct hs_segment *segment, uint64_t now)
 {
   const struct hs_routing_rule *rule
       = steering->routing != NULL
@@ -339,12 +349,37 @@
   if ((segment->flags & HS_SEGMENT_ACK) != 0)
     flow->caller_ack = segment->ack;
   steer.len = hs_fleet_of_service (steering->fleet, flow->asked_service,
-                                   steer.to, HS_STEER_MAX);
+                                   steer.to, HS_STEER_MAX, now);
   if (steer.len == 0)
     return without (HS_STEER_DROP, HS_REASON_NO_UPSTREAM);
   return steer;
 }
 
+/* What was denied before all agents were known counts now.  */
+static void
+on_complete (void *ctx, struct hs_segment_flow *base)
+{
+  struct hs_steering *steering = ctx;
+
+  reset_if_denied (steering, (struct flow *)base, steering->now);
+}
+
+/* A flow that was reset is asked for anew if its caller goes on.  */
+static void
+reset_if_denied (struct hs_steering *steering, struct flow *flow, uint64_t now)
+{
+  struct hs_segment segment = { .from = flow->base.key.caller,
+                                .to = flow->base.key.address,
+                                .flags = HS_SEGMENT_ACK,
+                                .ack = flow->caller_ack };
+
+  if (flow->denied_len == 0 || flow->holder != 0 || flow->tried_len > 0
+      || !is_denied_by_all (steering, flow, now))
+    return;
+  flow->denied_len = 0;
+  steering->ops.reset (steering->ctx, &segment);
+}
+
 static bool
 is_denied_by (const struct flow *flow, uint64_t slot)
 {
@@ -356,11 +391,12 @@
 
 /* An agent that is not heard of at present may hold the flow.  */
 static bool
-is_denied_by_all (const struct hs_steering *steering, const struct flow *flow)
+is_denied_by_all (const struct hs_steering *steering, const struct flow *flow,
+                  uint64_t now)
 {
   const struct hs_backend *backends[HS_STEER_MAX];
   size_t len = hs_fleet_of_service (steering->fleet, flow->asked_service,
-                                    backends, HS_STEER_MAX);
+                                    backends, HS_STEER_MAX, now);
 
   for (size_t i = 0; i < len; i++)
     if (!is_denied_by (flow, backends[i]->report.slot))
--- a/src/wire/inner.c
+++ b/src/wire/inner.c
@@ -15,7 +15,7 @@
 /* Elements of each type, with the type itself.  */
 static const uint8_t fields_of[HS_INNER_TYPES] = {
   [HS_INNER_FORWARD] = 5, [HS_INNER_REFUSED] = 5, [HS_INNER_HELD] = 7,
-  [HS_INNER_REPORT] = 14, [HS_INNER_SYNC] = 10,   [HS_INNER_STATUS] = 6,
+  [HS_INNER_REPORT] = 15, [HS_INNER_SYNC] = 10,   [HS_INNER_STATUS] = 6,
   [HS_INNER_FETCH] = 3,   [HS_INNER_PART] = 5,
 };
 
@@ -141,6 +141,7 @@
   msgpack_pack_uint32 (out, report->flows);
   msgpack_pack_uint32 (out, report->cold_ms);
   msgpack_pack_uint32 (out, report->work_us);
+  msgpack_pack_uint8 (out, report->vacant);
   hs_pack_text (out, report->zone);
 }
 
@@ -237,6 +238,7 @@
   report->flows = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
   report->cold_ms = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
   report->work_us = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
+  report->vacant = hs_unpack_uint (in, 1) != 0;
   hs_unpack_text (in, report->zone, sizeof report->zone);
 }
 
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -24,6 +24,12 @@
       "{\"service\":\"beta\",\"weight\":10}]}],\"services\":[{\"name\":"
       "\"alpha\"},{\"name\":\"beta\"}],\"limits\":{\"idleTimeoutMs\":12000}}";
 
+struct lost
+{
+  size_t len;
+  struct hs_segment last;
+};
+
 /* An entry's decisions before three agents.  */
 struct entry
 {
@@ -31,12 +37,7 @@
   struct hs_routing *routing;
   struct hs_fleet *fleet;
   struct hs_steering *steering;
-};
-
-struct lost
-{
-  size_t len;
-  struct hs_segment last;
+  struct lost *reset; /* What was reset.  */
 };
 
 /* Private functions.  */
@@ -94,19 +95,31 @@
   hs_fleet_report (entry->fleet, &load, now);
 }
 
+static void
+on_lost (void *ctx, const struct hs_segment *segment)
+{
+  struct lost *lost = ctx;
+
+  lost->len++;
+  lost->last = *segment;
+}
+
 static struct entry
 entry_create (uint64_t now)
 {
   struct entry entry = { .root = talloc_new (NULL) };
+  struct hs_steering_ops ops = { on_lost };
   struct hs_configuration *configuration = hs_platform_decode_configuration (
       NULL, entry.root, json_configuration, strlen (json_configuration), NULL);
 
   g_assert_nonnull (configuration);
   entry.routing = hs_routing_create (entry.root, configuration);
   entry.fleet = hs_fleet_create (entry.root, "a");
-  entry.steering = hs_steering_create (entry.root, entry.fleet);
+  entry.reset = talloc_zero (entry.root, struct lost);
+  entry.steering
+      = hs_steering_create (entry.root, entry.fleet, &ops, entry.reset);
   hs_steering_set_routing (entry.steering, entry.routing);
-  hs_steering_set_complete (entry.steering, true);
+  hs_steering_set_complete (entry.steering, true, 0);
   report (&entry, "x", "a", HS_BACKEND_READY, 0, now);
   report (&entry, "y", "b", HS_BACKEND_READY, 0, now);
   report (&entry, "z", "b", HS_BACKEND_READY, 3, now);
@@ -121,15 +134,6 @@
   return steer->to[0]->report.slot;
 }
 
-static void
-on_lost (void *ctx, const struct hs_segment *segment)
-{
-  struct lost *lost = ctx;
-
-  lost->len++;
-  lost->last = *segment;
-}
-
 static struct hs_sidecar *
 sidecar_create (void *root, struct lost *lost, uint64_t wall)
 {
@@ -559,27 +563,33 @@
   talloc_free (entry.root);
 }
 
+static void
+deny (struct entry *entry, const struct hs_segment *segment, const char *name)
+{
+  struct hs_segment_key key = { segment->from, segment->to };
+
+  hs_steering_denied (entry->steering, &key, hs_slot_from_name (name), 0);
+}
+
 static void
 test_unknown_flow_asked_for (void)
 {
   struct entry entry = entry_create (0);
   struct hs_segment data = segment_of (HS_SEGMENT_ACK, 9, 101, 501, 50);
   struct hs_segment_key key = { data.from, data.to };
-  struct hs_segment reset;
   struct hs_steer steer = hs_steering_route (entry.steering, &data, 0);
 
   g_assert_true (steer.ask);
   g_assert_cmpuint (steer.len, ==, 3);
-  g_assert_false (hs_steering_denied (entry.steering, &key,
-                                      hs_slot_from_name ("x"), &reset));
-  g_assert_false (hs_steering_denied (entry.steering, &key,
-                                      hs_slot_from_name ("x"), &reset));
+  deny (&entry, &data, "x");
+  deny (&entry, &data, "x");
   hs_steering_held (entry.steering, &key, hs_slot_from_name ("z"), 5);
   steer = hs_steering_route (entry.steering, &data, 10);
   g_assert_cmpuint (slot_of (&steer), ==, hs_slot_from_name ("z"));
-  /* The holder is known: a late denial of another changes nothing.  */
-  g_assert_false (hs_steering_denied (entry.steering, &key,
-                                      hs_slot_from_name ("y"), &reset));
+  /* The holder is known: late denials of others change nothing.  */
+  deny (&entry, &data, "y");
+  deny (&entry, &data, "z");
+  g_assert_cmpuint (entry.reset->len, ==, 0);
   talloc_free (entry.root);
 }
 
@@ -588,34 +598,76 @@
 {
   struct entry entry = entry_create (0);
   struct hs_segment data = segment_of (HS_SEGMENT_ACK, 9, 101, 501, 50);
-  struct hs_segment_key key = { data.from, data.to };
-  struct hs_segment reset;
 
-  /* An entry that may not know of every agent resets nothing.  */
-  hs_steering_set_complete (entry.steering, false);
   hs_steering_route (entry.steering, &data, 0);
-  g_assert_false (hs_steering_denied (entry.steering, &key,
-                                      hs_slot_from_name ("x"), &reset));
-  g_assert_false (hs_steering_denied (entry.steering, &key,
-                                      hs_slot_from_name ("y"), &reset));
-  g_assert_false (hs_steering_denied (entry.steering, &key,
-                                      hs_slot_from_name ("z"), &reset));
-  hs_steering_set_complete (entry.steering, true);
-  /* What it was told before counts once it knows of all.  */
+  deny (&entry, &data, "x");
+  deny (&entry, &data, "y");
+  g_assert_cmpuint (entry.reset->len, ==, 0);
+  deny (&entry, &data, "z");
+  g_assert_cmpuint (entry.reset->len, ==, 1);
+  g_assert_cmpuint (entry.reset->last.ack, ==, 501);
+  g_assert_true (hs_addr_equal (&entry.reset->last.from, &data.from));
+  /* Asked for again, it takes all of them again.  */
   hs_steering_route (entry.steering, &data, 10);
-  g_assert_true (hs_steering_denied (entry.steering, &key,
-                                     hs_slot_from_name ("x"), &reset));
-  data.from.port = 10;
-  key.caller = data.from;
+  deny (&entry, &data, "z");
+  g_assert_cmpuint (entry.reset->len, ==, 1);
+  talloc_free (entry.root);
+}
+
+/* An agent whose upstream is gone for good is not waited for.  */
+static void
+test_vacant_agent_not_asked (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment data = segment_of (HS_SEGMENT_ACK, 9, 101, 501, 50);
+  struct hs_load_report load
+      = hs_fleet_find (entry.fleet, hs_slot_from_name ("z"))->report;
+
+  load.state = HS_BACKEND_ABSENT;
+  load.vacant = true;
+  load.seq++;
+  hs_fleet_report (entry.fleet, &load, 1);
+  g_assert_cmpuint (hs_steering_route (entry.steering, &data, 2).len, ==, 2);
+  deny (&entry, &data, "x");
+  deny (&entry, &data, "y");
+  g_assert_cmpuint (entry.reset->len, ==, 1);
+  talloc_free (entry.root);
+}
+
+/* One that never heard of its upstream and went silent, neither.  */
+static void
+test_silent_agent_without_upstream_not_asked (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment data = segment_of (HS_SEGMENT_ACK, 9, 101, 501, 50);
+
+  report (&entry, "z", "b", HS_BACKEND_ABSENT, 0, 1);
+  g_assert_cmpuint (hs_steering_route (entry.steering, &data, 2).len, ==, 3);
+  report (&entry, "x", "a", HS_BACKEND_READY, 0, 900);
+  g_assert_cmpuint (hs_steering_route (entry.steering, &data, 900).len, ==, 2);
+  talloc_free (entry.root);
+}
+
+/* An entry that may not know of every agent resets nothing until it does. */
+static void
+test_incomplete_fleet_resets_later (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment data = segment_of (HS_SEGMENT_ACK, 9, 101, 501, 50);
+  struct hs_segment other = segment_of (HS_SEGMENT_ACK, 10, 101, 501, 50);
+
+  hs_steering_set_complete (entry.steering, false, 0);
   hs_steering_route (entry.steering, &data, 0);
-  g_assert_false (hs_steering_denied (entry.steering, &key,
-                                      hs_slot_from_name ("x"), &reset));
-  g_assert_false (hs_steering_denied (entry.steering, &key,
-                                      hs_slot_from_name ("y"), &reset));
-  g_assert_true (hs_steering_denied (entry.steering, &key,
-                                     hs_slot_from_name ("z"), &reset));
-  g_assert_cmpuint (reset.ack, ==, 501);
-  g_assert_true (hs_addr_equal (&reset.from, &data.from));
+  hs_steering_route (entry.steering, &other, 0);
+  deny (&entry, &data, "x");
+  deny (&entry, &data, "y");
+  deny (&entry, &data, "z");
+  deny (&entry, &other, "x");
+  deny (&entry, &other, "y");
+  g_assert_cmpuint (entry.reset->len, ==, 0);
+  hs_steering_set_complete (entry.steering, true, 0);
+  g_assert_cmpuint (entry.reset->len, ==, 1);
+  g_assert_true (hs_addr_equal (&entry.reset->last.from, &data.from));
   talloc_free (entry.root);
 }
 
@@ -826,6 +878,31 @@
   talloc_free (root);
 }
 
+/* Where nothing listens, the host resets whatever comes.  */
+static void
+test_vacant_after_resets (void)
+{
+  void *root = talloc_new (NULL);
+  struct lost lost = { 0 };
+  struct hs_sidecar *sidecar = sidecar_create (root, &lost, 5000);
+
+  for (uint16_t port = 1; port <= 3; port++)
+    {
+      struct hs_segment data = segment_of (HS_SEGMENT_ACK, port, 101, 501, 50);
+      struct hs_segment reset = answer_to (&data, HS_SEGMENT_RST, 0, 0);
+
+      g_assert_false (load_of (sidecar).vacant);
+      from_entry (sidecar, &data, true, port);
+      hs_sidecar_from_upstream (sidecar, &reset, port);
+    }
+  g_assert_true (load_of (sidecar).vacant);
+  beat (sidecar, HS_UPSTREAM_READY, 2000, 1, 10);
+  g_assert_false (load_of (sidecar).vacant);
+  hs_sidecar_goodbye (sidecar, "i-1");
+  g_assert_true (load_of (sidecar).vacant);
+  talloc_free (root);
+}
+
 /* Two upstreams answered copies of one SYN: the caller took the other's.  */
 static void
 test_other_handshake_denied (void)
@@ -952,6 +1029,11 @@
   g_test_add_func ("/segment/unknown-flow", test_unknown_flow_asked_for);
   g_test_add_func ("/segment/nobody-holds",
                    test_flow_that_nobody_holds_is_reset);
+  g_test_add_func ("/segment/incomplete-fleet",
+                   test_incomplete_fleet_resets_later);
+  g_test_add_func ("/segment/vacant-not-asked", test_vacant_agent_not_asked);
+  g_test_add_func ("/segment/silent-not-asked",
+                   test_silent_agent_without_upstream_not_asked);
   g_test_add_func ("/segment/no-route", test_no_route);
   g_test_add_func ("/segment/draining", test_draining_refuses_from_the_ack_on);
   g_test_add_func ("/segment/other-writers", test_other_writers_refused);
@@ -964,6 +1046,7 @@
   g_test_add_func ("/segment/unknown-denied", test_unknown_flow_denied);
   g_test_add_func ("/segment/denied-without-upstream",
                    test_denied_without_upstream);
+  g_test_add_func ("/segment/vacant-after-resets", test_vacant_after_resets);
   g_test_add_func ("/segment/other-handshake", test_other_handshake_denied);
   g_test_add_func ("/segment/new-start", test_new_start_loses_flows);
   g_test_add_func ("/segment/requests-counted", test_requests_counted);
