--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -751,6 +751,10 @@
   uint32_t flow_idle_ms; /* Silence after which a flow may be given up.  */
 };
 
+struct hs_configuration *
+hs_configuration_parse (void *parent, const char *json, size_t len,
+                        GError **error); /* HS_ERROR_MALFORMED names the field;
+                                            what it means is not checked.  */
 bool hs_configuration_check (const struct hs_configuration *configuration,
                              GError **error); /* HS_ERROR_INVALID names the
                                                  route and the field.  */
@@ -975,6 +979,8 @@
   enum hs_claim claim;
   struct hs_addr entry; /* REFUSE: where the SYN came from; else: for the
                            claim.  */
+  bool answers;         /* ANSWER: it begins the answer to a request, ...  */
+  uint64_t answered_ms; /* ... which came that long before.  */
 };
 
 struct hs_sidecar_ops
--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -22,6 +22,9 @@
 #define STATUS_NOT_FOUND 404
 #define STATUS_UNAVAILABLE 503
 
+/* An answer that takes longer is logged.  */
+#define SLOW_MS 500
+
 /* For entries to stop placing flows here: a report and its way.  */
 #define DRAIN_MS 300
 
@@ -48,6 +51,7 @@
   struct hs_counter *busy;
   struct hs_counter *flows;
   struct hs_counter *state;
+  struct hs_histogram *answers;
 };
 
 struct hs_segment_agent
@@ -198,6 +202,8 @@
       = hs_gauge_create (all, "flows", "Flows open at the upstream.");
   counts->state
       = hs_gauge_create (all, "state", "0 ready, 1 leaving, 2 absent.");
+  counts->answers = hs_histogram_create (
+      all, "answer_ms", "From a request to the beginning of its answer.");
 }
 
 static bool
@@ -455,6 +461,8 @@
       hs_counter_add (agent->counts.delivered, 1);
       break;
     case HS_SIDECAR_ANSWER:
+      if (step->answers)
+        hs_histogram_add (agent->counts.answers, step->answered_ms);
       hs_front_answer (agent->front, packet, agent->outbound_fd, &segment->to,
                        agent->settings.caller_at.port);
       hs_counter_add (agent->counts.answered, 1);
@@ -536,18 +544,21 @@
                       : step->action == HS_SIDECAR_RESET ? "flow-reset"
                       : step->action == HS_SIDECAR_DROP  ? "segment-dropped"
                       : step->claim == HS_CLAIM_HELD     ? "flow-claimed"
+                      : step->answers                    ? "answer-slow"
                                                          : "flow-opened";
 
   if (step->action == HS_SIDECAR_DELIVER && !step->opened
       && step->claim == HS_CLAIM_NONE)
     return;
-  if (step->action == HS_SIDECAR_ANSWER && step->claim == HS_CLAIM_NONE)
+  if (step->action == HS_SIDECAR_ANSWER && step->claim == HS_CLAIM_NONE
+      && step->answered_ms < SLOW_MS)
     return;
   hs_addr_format (&segment->from, from);
   hs_addr_format (&segment->to, to);
-  hs_log_write (agent->log, HS_LOG_INFO, event, "{s:s, s:s, s:s, s:i}", "from",
-                from, "to", to, "reason", hs_reason_name (step->reason),
-                "state", (int)agent->reported);
+  hs_log_write (agent->log, HS_LOG_INFO, event, "{s:s, s:s, s:s, s:i, s:I}",
+                "from", from, "to", to, "reason",
+                hs_reason_name (step->reason), "state", (int)agent->reported,
+                "answered_ms", (json_int_t)step->answered_ms);
 }
 
 static void
--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -1,4 +1,5 @@
-/* counter.c -- counters and gauges in the text exposition format.  */
+/* counter.c -- counters, gauges and histograms in the text exposition format.
+ */
 
 #include "base/counter.h"
 #include "hibiscusspan.h"
@@ -18,11 +19,26 @@
   _Atomic uint64_t value;
 };
 
+/* Upper bounds of the buckets, ms; one more is without a bound.  */
+#define BUCKETS 13
+static const uint64_t bounds[BUCKETS]
+    = { 1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000 };
+
+struct hs_histogram
+{
+  struct hs_list link;
+  const char *name;
+  const char *help;
+  _Atomic uint64_t counts[BUCKETS + 1];
+  _Atomic uint64_t sum; /* ms  */
+};
+
 struct hs_counters
 {
   const char *prefix;
-  pthread_mutex_t lock; /* Of the list; values are atomic.  */
+  pthread_mutex_t lock; /* Of the lists; values are atomic.  */
   struct hs_list list;
+  struct hs_list histograms;
 };
 
 /* Private functions.  */
@@ -30,6 +46,8 @@
 static struct hs_counter *create (struct hs_counters *counters,
                                   const char *name, const char *help,
                                   const char *type);
+static char *format_histogram (char *text, const char *prefix,
+                               const struct hs_histogram *histogram);
 static int destructor (struct hs_counters *counters);
 
 /* Public definitions.  */
@@ -42,6 +60,7 @@
   counters->prefix = talloc_strdup (counters, prefix);
   pthread_mutex_init (&counters->lock, NULL);
   hs_list_init (&counters->list);
+  hs_list_init (&counters->histograms);
   talloc_set_destructor (counters, destructor);
   return counters;
 }
@@ -84,6 +103,32 @@
   return atomic_load_explicit (&counter->value, memory_order_relaxed);
 }
 
+struct hs_histogram *
+hs_histogram_create (struct hs_counters *counters, const char *name,
+                     const char *help)
+{
+  struct hs_histogram *histogram = talloc_zero (counters, struct hs_histogram);
+
+  histogram->name = name;
+  histogram->help = help;
+  pthread_mutex_lock (&counters->lock);
+  hs_list_append (&counters->histograms, &histogram->link);
+  pthread_mutex_unlock (&counters->lock);
+  return histogram;
+}
+
+void
+hs_histogram_add (struct hs_histogram *histogram, uint64_t ms)
+{
+  size_t bucket = 0;
+
+  while (bucket < BUCKETS && ms > bounds[bucket])
+    bucket++;
+  atomic_fetch_add_explicit (&histogram->counts[bucket], 1,
+                             memory_order_relaxed);
+  atomic_fetch_add_explicit (&histogram->sum, ms, memory_order_relaxed);
+}
+
 char *
 hs_counters_format (void *parent, struct hs_counters *counters)
 {
@@ -101,6 +146,9 @@
           counter->name, counter->type, counters->prefix, counter->name,
           (unsigned long long)hs_counter_value (counter));
     }
+  HS_LIST_FOREACH (link, &counters->histograms)
+    text = format_histogram (text, counters->prefix,
+                             HS_LIST_ENTRY (link, struct hs_histogram, link));
   pthread_mutex_unlock (&counters->lock);
   return text;
 }
@@ -122,6 +170,32 @@
   return counter;
 }
 
+static char *
+format_histogram (char *text, const char *prefix,
+                  const struct hs_histogram *histogram)
+{
+  unsigned long long count = 0;
+
+  text = talloc_asprintf_append_buffer (
+      text, "# HELP %s_%s %s\n# TYPE %s_%s histogram\n", prefix,
+      histogram->name, histogram->help, prefix, histogram->name);
+  for (size_t i = 0; i < BUCKETS; i++)
+    {
+      count += atomic_load (&histogram->counts[i]);
+      text = talloc_asprintf_append_buffer (
+          text, "%s_%s_bucket{le=\"%llu\"} %llu\n", prefix, histogram->name,
+          (unsigned long long)bounds[i], count);
+    }
+  count += atomic_load (&histogram->counts[BUCKETS]);
+  return talloc_asprintf_append_buffer (
+      text,
+      "%s_%s_bucket{le=\"+Inf\"} %llu\n%s_%s_sum %llu\n%s_%s_count "
+      "%llu\n",
+      prefix, histogram->name, count, prefix, histogram->name,
+      (unsigned long long)atomic_load (&histogram->sum), prefix,
+      histogram->name, count);
+}
+
 static int
 destructor (struct hs_counters *counters)
 {
--- /dev/null
+++ b/src/base/json.c
@@ -0,0 +1,78 @@
+/* json.c -- typed reading of JSON objects.  */
+
+#include "base/json.h"
+
+#include <string.h>
+
+/* Public definitions.  */
+
+json_t *
+hs_json_load (const char *text, size_t len, GError **error)
+{
+  json_error_t problem;
+  json_t *object = json_loadb (text, len, 0, &problem);
+
+  if (object != NULL && json_is_object (object))
+    return object;
+  g_set_error (error, HS_ERROR, HS_ERROR_MALFORMED, "not a JSON object: %s",
+               object != NULL ? "of another type" : problem.text);
+  json_decref (object);
+  return NULL;
+}
+
+bool
+hs_json_text (const json_t *object, const char *key, const char **text,
+              GError **error)
+{
+  *text = json_string_value (json_object_get (object, key));
+  return *text != NULL || hs_json_refuse (key, error);
+}
+
+bool
+hs_json_name (const json_t *object, const char *key, const char **name,
+              GError **error)
+{
+  return hs_json_text (object, key, name, error)
+         && (strlen (*name) < HS_NAME_SIZE || hs_json_refuse (key, error));
+}
+
+bool
+hs_json_uint (const json_t *object, const char *key, uint64_t max,
+              uint64_t *value, GError **error)
+{
+  const json_t *number = json_object_get (object, key);
+
+  if (!json_is_integer (number) || json_integer_value (number) < 0
+      || (uint64_t)json_integer_value (number) > max)
+    return hs_json_refuse (key, error);
+  *value = (uint64_t)json_integer_value (number);
+  return true;
+}
+
+bool
+hs_json_uint32 (const json_t *object, const char *key, uint32_t *value,
+                GError **error)
+{
+  uint64_t number;
+
+  if (!hs_json_uint (object, key, UINT32_MAX, &number, error))
+    return false;
+  *value = (uint32_t)number;
+  return true;
+}
+
+bool
+hs_json_array (const json_t *object, const char *key, const json_t **array,
+               GError **error)
+{
+  *array = json_object_get (object, key);
+  return json_is_array (*array) || hs_json_refuse (key, error);
+}
+
+bool
+hs_json_refuse (const char *key, GError **error)
+{
+  g_set_error (error, HS_ERROR, HS_ERROR_MALFORMED,
+               "field %s: missing, or not of its type", key);
+  return false;
+}
--- a/src/control/group.c
+++ b/src/control/group.c
@@ -13,6 +13,7 @@
 #include "wire/inner.h"
 #include "wire/replica_message.h"
 
+#include <stdlib.h>
 #include <string.h>
 #include <sys/random.h>
 
@@ -61,6 +62,8 @@
   struct hs_counter *applied;
   struct hs_counter *version;
   struct hs_counter *journal;
+  struct hs_histogram *acknowledge;
+  struct hs_histogram *sync;
 };
 
 struct hs_group
@@ -138,6 +141,11 @@
 static void answer_one (struct hs_group *group, struct hs_group_call *call,
                         uint64_t now);
 static void answer_show (struct hs_group *group, struct hs_group_call *call);
+static void answer_cluster (struct hs_group *group,
+                            struct hs_group_call *call);
+static json_t *host_json (const struct hs_control_host *host, bool votes,
+                          bool leads);
+static void add_node (void *ctx, const struct hs_inner_sync *node);
 static void tell_nodes (struct hs_group *group);
 static void tell_entry (void *ctx, const struct hs_inner_sync *node);
 static void tell_agent (void *ctx, const struct hs_inner_sync *node);
@@ -209,10 +217,10 @@
   hs_duty_stop (group->decide);
   hs_log_disk_stop (group->disk);
   while ((item = hs_ring_pop (group->calls)) != NULL)
-    hs_group_answer (item, STATUS_UNAVAILABLE, "this host stops");
+    hs_group_answer (item, STATUS_UNAVAILABLE, HS_NOT_RUN, "this host stops");
   HS_LIST_FOREACH (link, &group->waiting)
     hs_group_answer (HS_LIST_ENTRY (link, struct hs_group_call, link),
-                     STATUS_UNAVAILABLE,
+                     STATUS_UNAVAILABLE, HS_MAY_HAVE_RUN,
                      "this host stops; the change may have been accepted");
   hs_group_api_destroy (group->api);
   while ((item = hs_ring_pop (group->received)) != NULL)
@@ -286,6 +294,12 @@
                                      "Version of the configuration here.");
   counts->journal
       = hs_gauge_create (all, "journal_bytes", "Size of the journal.");
+  counts->acknowledge
+      = hs_histogram_create (all, "acknowledge_ms",
+                             "From a change of the configuration to its "
+                             "acknowledgement.");
+  counts->sync = hs_histogram_create (
+      all, "sync_ms", "From a write of the log until it is synced.");
 }
 
 static bool
@@ -507,6 +521,11 @@
   uint64_t now = hs_clock_now ();
   struct hs_control_host leader;
 
+  if (call->operation == HS_OPERATION_CLUSTER)
+    {
+      answer_cluster (group, call);
+      return;
+    }
   if (!group->stopping && !hs_replica_leads (group->replica)
       && hs_replica_leader (group->replica, &leader))
     {
@@ -517,7 +536,8 @@
   if (group->stopping || !hs_replica_leads (group->replica))
     {
       hs_counter_add (group->counts.unavailable, 1);
-      hs_group_answer (call, STATUS_UNAVAILABLE, "no leader is known");
+      hs_group_answer (call, STATUS_UNAVAILABLE, HS_NOT_RUN,
+                       "no leader is known");
       return;
     }
   call->term = hs_replica_term (group->replica);
@@ -546,7 +566,8 @@
       return;
     }
   hs_list_remove (&call->link);
-  hs_group_answer (call, STATUS_TOO_LARGE, "configuration is too large");
+  hs_group_answer (call, STATUS_TOO_LARGE, HS_NOT_RUN,
+                   "configuration is too large");
 }
 
 static uint64_t
@@ -595,6 +616,7 @@
       hs_log_write (group->log, HS_LOG_INFO, "disk-regained", NULL);
       hs_replica_set_disk (group->replica, true);
     }
+  hs_histogram_add (group->counts.sync, hs_clock_now () - job->asked_at);
   hs_replica_synced (group->replica, job->seq, hs_clock_now ());
   if (job->journal_size > JOURNAL_MAX && !group->image_asked)
     {
@@ -679,7 +701,7 @@
                     hs_replica_leads (group->replica), "index",
                     (json_int_t)call->index, "waited_ms",
                     (json_int_t)(now - call->asked_at));
-      hs_group_answer (call, STATUS_UNAVAILABLE,
+      hs_group_answer (call, STATUS_UNAVAILABLE, HS_MAY_HAVE_RUN,
                        "no majority in time; a change may have been accepted");
       return;
     }
@@ -689,6 +711,7 @@
       return;
     }
   hs_counter_add (group->counts.accepted, 1);
+  hs_histogram_add (group->counts.acknowledge, now - call->asked_at);
   hs_log_write (
       group->log, HS_LOG_INFO, "configuration-acknowledged",
       "{s:I, s:I, s:I, s:I}", "version",
@@ -696,7 +719,7 @@
       (json_int_t)(group->stored != NULL ? group->stored->version : 0),
       "index", (json_int_t)call->index, "took_ms",
       (json_int_t)(now - call->asked_at));
-  hs_group_answer (call, STATUS_OK, "accepted");
+  hs_group_answer (call, STATUS_OK, HS_RAN, "accepted");
 }
 
 static void
@@ -707,7 +730,8 @@
 
   if (group->stored == NULL)
     {
-      hs_group_answer (call, STATUS_UNAVAILABLE, "no configuration yet");
+      hs_group_answer (call, STATUS_UNAVAILABLE, HS_NOT_RUN,
+                       "no configuration yet");
       return;
     }
   source = hs_bytes_uncompress (NULL, group->stored->source,
@@ -716,6 +740,63 @@
   hs_group_answer_body (call, (const char *)source);
 }
 
+static void
+answer_cluster (struct hs_group *group, struct hs_group_call *call)
+{
+  HS_AUTO_JSON json_t *json = NULL;
+  json_t *hosts = json_array ();
+  json_t *nodes = json_array ();
+  struct hs_control_host known[HS_INNER_ADDRS_MAX];
+  struct hs_control_host leader = { 0 };
+  size_t len = hs_replica_hosts (group->replica, known, HS_INNER_ADDRS_MAX);
+  char *text;
+
+  hs_replica_leader (group->replica, &leader);
+  for (size_t i = 0; i < len; i++)
+    json_array_append_new (
+        hosts,
+        host_json (&known[i], i < hs_replica_members (group->replica)->len,
+                   known[i].id == leader.id));
+  hs_roster_each (group->roster, HS_ROLE_ENTRY, add_node, nodes);
+  hs_roster_each (group->roster, HS_ROLE_AGENT, add_node, nodes);
+  json = json_pack (
+      "{s:s, s:b, s:I, s:I, s:I, s:I, s:b, s:o, s:o}", "name",
+      group->settings.name, "leads", hs_replica_leads (group->replica), "term",
+      (json_int_t)hs_replica_term (group->replica), "applied",
+      (json_int_t)hs_replica_applied (group->replica), "last",
+      (json_int_t)hs_replica_last (group->replica), "version",
+      (json_int_t)(group->stored != NULL ? group->stored->version : 0),
+      "disk_works", !group->disk_failed, "hosts", hosts, "nodes", nodes);
+  text = json_dumps (json, JSON_INDENT (2));
+  hs_group_answer_body (call, text);
+  free (text);
+}
+
+static json_t *
+host_json (const struct hs_control_host *host, bool votes, bool leads)
+{
+  char inner[HS_ADDR_TEXT_SIZE];
+  char api[HS_ADDR_TEXT_SIZE];
+
+  hs_addr_format (&host->inner, inner);
+  hs_addr_format (&host->api, api);
+  return json_pack ("{s:s, s:s, s:b, s:b}", "inner", inner, "api", api,
+                    "votes", votes, "leads", leads);
+}
+
+static void
+add_node (void *ctx, const struct hs_inner_sync *node)
+{
+  char address[HS_ADDR_TEXT_SIZE];
+
+  hs_addr_format (&node->address, address);
+  json_array_append_new (
+      ctx, json_pack ("{s:s, s:s, s:s, s:s, s:I}", "name", node->name, "role",
+                      node->role == HS_ROLE_ENTRY ? "entry" : "agent", "zone",
+                      node->zone, "address", address, "version_in_force",
+                      (json_int_t)node->version));
+}
+
 /* Entries hear of a new configuration from the leader at once, once for all
    that was accepted in a run, and agents of a new entry from every host; both
    hear again in answer to their heartbeats.  */
@@ -852,6 +933,7 @@
     job = hs_log_job_create ();
   group->job = NULL;
   job->seq = seq;
+  job->asked_at = hs_clock_now ();
   job->replaces = group->replaces;
   group->image_asked = group->image_asked || group->replaces;
   group->replaces = false;
--- a/src/control/group_api.c
+++ b/src/control/group_api.c
@@ -16,6 +16,24 @@
 #define STATUS_UNAVAILABLE 503
 #define LOCATION_SIZE 320
 
+/* As in a dialect.  */
+typedef struct hs_configuration *decode_fn (void *ctx, void *parent,
+                                            const char *body, size_t len,
+                                            GError **error);
+
+struct native_call
+{
+  const char *method;
+  const char *path;
+  enum hs_operation operation;
+};
+
+static const struct native_call native_calls[] = {
+  { "PUT", "/v1/configuration", HS_OPERATION_REPLACE },
+  { "GET", "/v1/configuration", HS_OPERATION_SHOW },
+  { "GET", "/v1/cluster", HS_OPERATION_CLUSTER },
+};
+
 struct hs_group_api
 {
   struct hs_http *http;
@@ -28,13 +46,17 @@
 /* Private functions.  */
 
 static void on_request (void *ctx, struct hs_http_request *request);
+static struct hs_configuration *decode_native (void *ctx, void *parent,
+                                               const char *body, size_t len,
+                                               GError **error);
 static void begin_call (struct hs_group_api *api,
                         struct hs_http_request *request,
-                        enum hs_operation operation);
+                        enum hs_operation operation, decode_fn *decode);
 static bool read_configuration (struct hs_group_api *api,
-                                struct hs_group_call *call);
+                                struct hs_group_call *call, decode_fn *decode);
+static enum hs_operation read_native (const struct hs_http_request *request);
 static void answer_json (struct hs_http_request *request, unsigned int status,
-                         const char *message);
+                         enum hs_outcome outcome, const char *message);
 
 /* Public definitions.  */
 
@@ -74,9 +96,9 @@
 
 void
 hs_group_answer (struct hs_group_call *call, unsigned int status,
-                 const char *message)
+                 enum hs_outcome outcome, const char *message)
 {
-  answer_json (call->request, status, message);
+  answer_json (call->request, status, outcome, message);
   talloc_free (call);
 }
 
@@ -106,37 +128,65 @@
 on_request (void *ctx, struct hs_http_request *request)
 {
   struct hs_group_api *api = ctx;
+  const struct hs_dialect *dialect = api->dialect;
   char id[HS_NAME_SIZE];
   enum hs_operation operation;
 
   if (hs_admin_handle (api->admin, request))
     return;
-  operation = api->dialect->read_operation (
-      api->dialect->ctx, hs_http_method (request), hs_http_path (request), id);
+  operation = read_native (request);
+  if (operation != HS_OPERATION_UNKNOWN)
+    {
+      begin_call (api, request, operation, decode_native);
+      return;
+    }
+  operation = dialect->read_operation (dialect->ctx, hs_http_method (request),
+                                       hs_http_path (request), id);
   if (operation == HS_OPERATION_REPLACE || operation == HS_OPERATION_SHOW)
-    begin_call (api, request, operation);
+    begin_call (api, request, operation, dialect->decode_configuration);
   else
-    answer_json (request, STATUS_NOT_FOUND, "no such call here");
+    answer_json (request, STATUS_NOT_FOUND, HS_NOT_RUN, "no such call here");
+}
+
+static enum hs_operation
+read_native (const struct hs_http_request *request)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (native_calls); i++)
+    if (strcmp (native_calls[i].method, hs_http_method (request)) == 0
+        && strcmp (native_calls[i].path, hs_http_path (request)) == 0)
+      return native_calls[i].operation;
+  return HS_OPERATION_UNKNOWN;
+}
+
+static struct hs_configuration *
+decode_native (void *ctx, void *parent, const char *body, size_t len,
+               GError **error)
+{
+  (void)ctx;
+  return hs_configuration_parse (parent, body, len, error);
 }
 
 static void
 begin_call (struct hs_group_api *api, struct hs_http_request *request,
-            enum hs_operation operation)
+            enum hs_operation operation, decode_fn *decode)
 {
   struct hs_group_call *call = talloc_zero (NULL, struct hs_group_call);
 
   call->request = request;
   call->operation = operation;
   call->asked_at = hs_clock_now ();
-  if (operation == HS_OPERATION_REPLACE && !read_configuration (api, call))
+  if (operation == HS_OPERATION_REPLACE
+      && !read_configuration (api, call, decode))
     return;
   if (!api->fn (api->ctx, call))
-    hs_group_answer (call, STATUS_UNAVAILABLE, "too many calls wait");
+    hs_group_answer (call, STATUS_UNAVAILABLE, HS_NOT_RUN,
+                     "too many calls wait");
 }
 
 /* What is invalid is refused on any host and under any version.  */
 static bool
-read_configuration (struct hs_group_api *api, struct hs_group_call *call)
+read_configuration (struct hs_group_api *api, struct hs_group_call *call,
+                    decode_fn *decode)
 {
   size_t len;
   const char *body = hs_http_body (call->request, &len);
@@ -144,24 +194,24 @@
 
   if (len >= HS_HTTP_BODY_MAX)
     {
-      hs_group_answer (call, STATUS_TOO_LARGE, "configuration is too large");
+      hs_group_answer (call, STATUS_TOO_LARGE, HS_NOT_RUN,
+                       "configuration is too large");
       return false;
     }
-  call->configuration = api->dialect->decode_configuration (
-      api->dialect->ctx, call, body, len, &error);
+  call->configuration = decode (api->dialect->ctx, call, body, len, &error);
   if (call->configuration != NULL
       && hs_configuration_check (call->configuration, &error))
     return true;
-  hs_group_answer (call, STATUS_BAD_REQUEST, error->message);
+  hs_group_answer (call, STATUS_BAD_REQUEST, HS_NOT_RUN, error->message);
   return false;
 }
 
 static void
 answer_json (struct hs_http_request *request, unsigned int status,
-             const char *message)
+             enum hs_outcome outcome, const char *message)
 {
-  HS_AUTO_JSON json_t *json
-      = json_pack ("{s:s%}", "message", message, strlen (message));
+  HS_AUTO_JSON json_t *json = json_pack (
+      "{s:s, s:s}", "verdict", hs_outcome_name (outcome), "message", message);
   char *text = json_dumps (json, JSON_COMPACT);
 
   hs_http_answer (request, status, "application/json",
--- a/src/control/group_api.h
+++ b/src/control/group_api.h
@@ -11,7 +11,7 @@
 {
   struct hs_list link;
   struct hs_http_request *request;
-  enum hs_operation operation;            /* REPLACE or SHOW  */
+  enum hs_operation operation;            /* REPLACE, SHOW or CLUSTER  */
   struct hs_configuration *configuration; /* REPLACE: valid; a child.  */
   uint64_t asked_at;                      /* ms  */
   uint64_t index; /* REPLACE: of the log, to be applied.  */
@@ -32,7 +32,8 @@
 void hs_group_api_destroy (struct hs_group_api *api);
 void hs_group_api_set_healthy (struct hs_group_api *api, const char *reason);
 void hs_group_answer (struct hs_group_call *call, unsigned int status,
-                      const char *message);
+                      enum hs_outcome outcome,
+                      const char *message); /* Whether a change runs.  */
 void hs_group_answer_body (struct hs_group_call *call, const char *body);
 void hs_group_redirect (struct hs_group_call *call,
                         const struct hs_addr *to); /* The same call there.  */
--- a/src/control/log_disk.h
+++ b/src/control/log_disk.h
@@ -12,7 +12,8 @@
 struct hs_log_job
 {
   uint64_t seq;
-  bool replaces; /* All that is on disk.  */
+  uint64_t asked_at; /* ms  */
+  bool replaces;     /* All that is on disk.  */
   size_t len;
   size_t size;
   struct hs_journal_item *items; /* Children, and so are their data.  */
--- a/src/dialect/dialect.h
+++ b/src/dialect/dialect.h
@@ -18,7 +18,8 @@
   HS_OPERATION_HEARTBEAT, /* Of the upstream ID.  */
   HS_OPERATION_GOODBYE,   /* The same: it ends.  */
   HS_OPERATION_REPLACE,   /* A whole configuration.  */
-  HS_OPERATION_SHOW       /* The configuration in force.  */
+  HS_OPERATION_SHOW,      /* The configuration in force.  */
+  HS_OPERATION_CLUSTER    /* The control group, as this host sees it.  */
 };
 
 struct hs_dialect
--- /dev/null
+++ b/src/document/configuration.c
@@ -0,0 +1,175 @@
+/* configuration.c -- a whole configuration as the project's own JSON.  */
+
+#include "base/auto.h"
+#include "base/json.h"
+
+#include <string.h>
+
+/* Types.  */
+
+#define FLOW_IDLE_MS 15000 /* Where the configuration does not tell.  */
+#define WEIGHT 1           /* Of the one service of a route.  */
+
+static const char *const work_names[] = { [HS_WORK_IDEMPOTENT] = "idempotent",
+                                          [HS_WORK_ONCE] = "once",
+                                          [HS_WORK_UPLOAD] = "upload" };
+
+/* Private functions.  */
+
+static bool read_all (const json_t *object,
+                      struct hs_configuration *configuration, GError **error);
+static bool read_services (const json_t *array,
+                           struct hs_configuration *configuration,
+                           GError **error);
+static bool read_routes (const json_t *array,
+                         struct hs_configuration *configuration,
+                         GError **error);
+static bool read_route (const json_t *object, void *parent,
+                        struct hs_service_route *route, GError **error);
+static bool read_work (const json_t *object, enum hs_work *work,
+                       GError **error);
+static bool read_splits (const json_t *object, void *parent,
+                         struct hs_service_route *route, GError **error);
+
+/* Public definitions.  */
+
+struct hs_configuration *
+hs_configuration_parse (void *parent, const char *json, size_t len,
+                        GError **error)
+{
+  HS_AUTO_JSON json_t *object = hs_json_load (json, len, error);
+  struct hs_configuration *configuration
+      = talloc_zero (parent, struct hs_configuration);
+
+  if (object != NULL && read_all (object, configuration, error))
+    return configuration;
+  talloc_free (configuration);
+  return NULL;
+}
+
+/* Private definitions.  */
+
+static bool
+read_all (const json_t *object, struct hs_configuration *configuration,
+          GError **error)
+{
+  const json_t *services;
+  const json_t *routes;
+
+  configuration->flow_idle_ms = FLOW_IDLE_MS;
+  if (json_object_get (object, "flow_idle_ms") != NULL
+      && !hs_json_uint32 (object, "flow_idle_ms", &configuration->flow_idle_ms,
+                          error))
+    return false;
+  return hs_json_uint (object, "version", INT64_MAX, &configuration->version,
+                       error)
+         && hs_json_array (object, "services", &services, error)
+         && hs_json_array (object, "routes", &routes, error)
+         && read_services (services, configuration, error)
+         && read_routes (routes, configuration, error);
+}
+
+static bool
+read_services (const json_t *array, struct hs_configuration *configuration,
+               GError **error)
+{
+  size_t len = json_array_size (array);
+
+  configuration->services_len = len;
+  configuration->services = talloc_array (configuration, const char *, len);
+  for (size_t i = 0; i < len; i++)
+    {
+      const char *name = json_string_value (json_array_get (array, i));
+
+      if (name == NULL || !hs_name_is_valid (name))
+        return hs_json_refuse ("services", error);
+      configuration->services[i] = talloc_strdup (configuration, name);
+    }
+  return true;
+}
+
+static bool
+read_routes (const json_t *array, struct hs_configuration *configuration,
+             GError **error)
+{
+  size_t len = json_array_size (array);
+
+  configuration->routes_len = len;
+  configuration->routes
+      = talloc_zero_array (configuration, struct hs_service_route, len);
+  for (size_t i = 0; i < len; i++)
+    if (!read_route (json_array_get (array, i), configuration,
+                     &configuration->routes[i], error))
+      {
+        g_prefix_error (error, "route %zu: ", i + 1);
+        return false;
+      }
+  return true;
+}
+
+static bool
+read_route (const json_t *object, void *parent, struct hs_service_route *route,
+            GError **error)
+{
+  const char *name;
+  const char *address;
+
+  if (!hs_json_name (object, "name", &name, error)
+      || !hs_json_text (object, "address", &address, error)
+      || !hs_json_uint32 (object, "timeout_ms", &route->timeout_ms, error)
+      || !hs_json_uint32 (object, "slo_ms", &route->slo_ms, error)
+      || !hs_json_uint32 (object, "priority", &route->priority, error)
+      || !read_work (object, &route->work, error))
+    return false;
+  if (!hs_addr_parse (address, &route->address))
+    return hs_json_refuse ("address", error);
+  route->name = talloc_strdup (parent, name);
+  return read_splits (object, parent, route, error);
+}
+
+static bool
+read_work (const json_t *object, enum hs_work *work, GError **error)
+{
+  const char *text;
+
+  if (!hs_json_text (object, "work", &text, error))
+    return false;
+  for (size_t i = 0; i < G_N_ELEMENTS (work_names); i++)
+    if (strcmp (work_names[i], text) == 0)
+      {
+        *work = (enum hs_work)i;
+        return true;
+      }
+  return hs_json_refuse ("work", error);
+}
+
+static bool
+read_splits (const json_t *object, void *parent,
+             struct hs_service_route *route, GError **error)
+{
+  const json_t *array = json_object_get (object, "split");
+  const char *service;
+
+  route->splits_len = array != NULL ? json_array_size (array) : 1;
+  route->splits
+      = talloc_zero_array (parent, struct hs_split, route->splits_len);
+  if (array == NULL)
+    {
+      if (!hs_json_name (object, "service", &service, error))
+        return false;
+      route->splits[0].service = talloc_strdup (parent, service);
+      route->splits[0].weight = WEIGHT;
+      return true;
+    }
+  for (size_t i = 0; i < route->splits_len; i++)
+    {
+      const json_t *split = json_array_get (array, i);
+
+      if (!hs_json_name (split, "service", &service, error)
+          || !hs_json_uint32 (split, "weight", &route->splits[i].weight,
+                              error))
+        return false;
+      route->splits[i].service = talloc_strdup (parent, service);
+    }
+  return true;
+}
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -44,6 +44,7 @@
   struct hs_counter *reports;
   struct hs_counter *flows;
   struct hs_counter *version;
+  struct hs_histogram *report_age;
 };
 
 struct hs_segment_entry
@@ -88,7 +89,7 @@
                        const struct hs_segment *segment,
                        const struct hs_steer *steer, uint64_t now);
 static void forward (struct hs_segment_entry *entry, struct hs_packet *packet,
-                     const struct hs_steer *steer);
+                     const struct hs_steer *steer, uint64_t now);
 static void reset (struct hs_segment_entry *entry, struct hs_packet *packet,
                    const struct hs_segment *segment);
 static void log_steer (struct hs_segment_entry *entry,
@@ -198,6 +199,8 @@
                                        "Segments that nobody takes.");
   counts->reports = hs_counter_create (all, "load_reports_total",
                                        "Load reports of agents.");
+  counts->report_age = hs_histogram_create (
+      all, "report_age_ms", "Age of the load report that placed a flow.");
   counts->flows = hs_gauge_create (all, "flows", "Flows known here.");
   counts->version = hs_gauge_create (all, "configuration_version",
                                      "Version of the configuration here.");
@@ -379,7 +382,7 @@
   switch (steer->kind)
     {
     case HS_STEER_FORWARD:
-      forward (entry, packet, steer);
+      forward (entry, packet, steer, now);
       break;
     case HS_STEER_RESET:
       reset (entry, packet, segment);
@@ -392,14 +395,18 @@
 
 static void
 forward (struct hs_segment_entry *entry, struct hs_packet *packet,
-         const struct hs_steer *steer)
+         const struct hs_steer *steer, uint64_t now)
 {
   struct hs_inner inner = { .type = HS_INNER_FORWARD };
   uint16_t start = packet->start;
   uint16_t len = packet->len;
 
   if (steer->placed)
-    hs_counter_add (entry->counts.placed, 1);
+    {
+      hs_counter_add (entry->counts.placed, 1);
+      hs_histogram_add (entry->counts.report_age,
+                        now - steer->to[0]->heard_at);
+    }
   if (steer->placed && !steer->to[0]->in_zone)
     hs_counter_add (entry->counts.placed_elsewhere, 1);
   if (steer->ask)
--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -279,6 +279,8 @@
       flow->state = FLOW_OPEN;
       set_open (sidecar, flow, true);
     }
+  answer.answers = segment->len > 0 && flow->busy;
+  answer.answered_ms = answer.answers ? now - flow->busy_since : 0;
   note_upstream (sidecar, flow, segment, now);
   note_end (sidecar, flow, segment);
   return answer;
--- a/src/tool/client.c
+++ b/src/tool/client.c
@@ -8,6 +8,7 @@
 
 /* Types.  */
 
+#define REDIRECTS_MAX 2
 #define TIMEOUT_S 10
 #define METHOD_PUT "PUT"
 
@@ -61,6 +62,9 @@
   curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, on_data);
   curl_easy_setopt (curl, CURLOPT_WRITEDATA, text);
   curl_easy_setopt (curl, CURLOPT_CUSTOMREQUEST, method);
+  /* A control host of a group sends callers on to the leader.  */
+  curl_easy_setopt (curl, CURLOPT_FOLLOWLOCATION, 1L);
+  curl_easy_setopt (curl, CURLOPT_MAXREDIRS, (long)REDIRECTS_MAX);
   if (body != NULL)
     {
       curl_easy_setopt (curl, CURLOPT_POSTFIELDS, body);
--- a/src/tool/main.c
+++ b/src/tool/main.c
@@ -53,6 +53,15 @@
                       const struct hs_args *args);
 static int run_call (const struct tool_settings *settings,
                      const struct hs_args *args);
+static int run_replace (const struct tool_settings *settings,
+                        const struct hs_args *args);
+static int run_show (const struct tool_settings *settings,
+                     const struct hs_args *args);
+static int run_cluster (const struct tool_settings *settings,
+                        const struct hs_args *args);
+static bool check_configuration (const char *path, const char *json,
+                                 size_t len, GError **error);
+static void print_cluster (const json_t *json);
 static struct hs_document *read_document (void *parent, const char *path,
                                           char **text, GError **error);
 static bool find_base (struct hs_client *client,
@@ -102,13 +111,19 @@
         "  status             print services, upstreams and what is in force\n"
         "  check FILE         check a document offline\n"
         "  call IP:PORT PATH  send one CoAP request as a caller\n"
+        "With a control group:\n"
+        "  replace FILE       put the whole configuration in FILE in force\n"
+        "  show               print the configuration in force\n"
+        "  cluster            print control hosts, nodes, what is in force\n"
         "Exit status: 0 done, 2 not run, 3 may have run, 64 usage.",
         "COMMAND [ARG...]", settings_table, G_N_ELEMENTS (settings_table) };
 
 static const struct command commands[] = {
-  { "apply", 1, 1, run_apply }, { "get", 1, 1, run_get },
-  { "list", 0, 0, run_list },   { "status", 0, 0, run_status },
-  { "check", 1, 1, run_check }, { "call", 2, 2, run_call },
+  { "apply", 1, 1, run_apply },     { "get", 1, 1, run_get },
+  { "list", 0, 0, run_list },       { "status", 0, 0, run_status },
+  { "check", 1, 1, run_check },     { "call", 2, 2, run_call },
+  { "replace", 1, 1, run_replace }, { "show", 0, 0, run_show },
+  { "cluster", 0, 0, run_cluster },
 };
 
 /* Public definitions.  */
@@ -235,6 +250,92 @@
   return exit_status (hs_outcome_name (verdict.outcome));
 }
 
+static int
+run_replace (const struct tool_settings *settings, const struct hs_args *args)
+{
+  HS_AUTO_TALLOC void *root = talloc_new (NULL);
+  struct hs_client *client = hs_client_create (root, &settings->control);
+  g_autoptr (GError) error = NULL;
+  HS_AUTO_JSON json_t *answer = NULL;
+  g_autofree char *text = NULL;
+  gsize len;
+  long status;
+
+  if (!g_file_get_contents (args->values[1], &text, &len, &error)
+      || !check_configuration (args->values[1], text, len, &error))
+    return fail (error);
+  answer = hs_client_call (client, "PUT", "/v1/configuration", text, &status,
+                           &error);
+  if (answer == NULL)
+    {
+      fprintf (stderr,
+               "hibiscusspan: %s\nhibiscusspan: may-have-run: the "
+               "same file may be sent again\n",
+               error->message);
+      return EXIT_MAY_HAVE_RUN;
+    }
+  printf ("%s: %s\n", text_of (answer, "verdict"),
+          text_of (answer, "message"));
+  return exit_status (text_of (answer, "verdict"));
+}
+
+static int
+run_show (const struct tool_settings *settings, const struct hs_args *args)
+{
+  (void)args;
+  return show (settings, "/v1/configuration", print_json);
+}
+
+static int
+run_cluster (const struct tool_settings *settings, const struct hs_args *args)
+{
+  (void)args;
+  return show (settings, "/v1/cluster", print_cluster);
+}
+
+/* So that a mistake is told with the file's name, and before it is sent.  */
+static bool
+check_configuration (const char *path, const char *json, size_t len,
+                     GError **error)
+{
+  HS_AUTO_TALLOC struct hs_configuration *configuration
+      = hs_configuration_parse (NULL, json, len, error);
+
+  if (configuration != NULL && hs_configuration_check (configuration, error))
+    return true;
+  g_prefix_error (error, "%s: ", path);
+  return false;
+}
+
+static void
+print_cluster (const json_t *json)
+{
+  size_t i;
+  json_t *item;
+
+  printf ("%s: term %lld, applied %lld, configuration %lld%s\n",
+          text_of (json, "name"), (long long)number_of (json, "term"),
+          (long long)number_of (json, "applied"),
+          (long long)number_of (json, "version"),
+          json_is_true (json_object_get (json, "disk_works"))
+              ? ""
+              : ", the disk does not work");
+  json_array_foreach (json_object_get (json, "hosts"), i, item)
+  {
+    printf ("  control %-24s %s%s\n", text_of (item, "inner"),
+            json_is_true (json_object_get (item, "votes")) ? "votes"
+                                                           : "follows",
+            json_is_true (json_object_get (item, "leads")) ? ", leads" : "");
+  }
+  json_array_foreach (json_object_get (json, "nodes"), i, item)
+  {
+    printf ("  %-7s %-24s %s, %s, configuration %lld\n",
+            text_of (item, "role"), text_of (item, "address"),
+            text_of (item, "name"), text_of (item, "zone"),
+            (long long)number_of (item, "version_in_force"));
+  }
+}
+
 static struct hs_document *
 read_document (void *parent, const char *path, char **text, GError **error)
 {
