--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES = curl pkg-config libtalloc-dev libtevent-dev libzmq3-dev libjansson-dev \
 	libmicrohttpd-dev libcoap3-dev libmsgpack-dev libglib2.0-dev \
 	libcurl4-openssl-dev libxxhash-dev zlib1g-dev
-SOURCES = $(shell find include src tests bench -name '*.[ch]')
+SOURCES = $(shell find include src platform tests bench -name '*.[ch]')
 
 .PHONY: all deps build check check-sanitize demo bench format lint clean
 
@@ -45,7 +45,7 @@
 	@clang-format --dry-run -Werror $(SOURCES)
 	@cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
 	  --enable=warning,performance,portability --library=gtk \
-	  --suppress=missingIncludeSystem -I include -I src src tests bench
+	  --suppress=missingIncludeSystem -I include -I src -I . src platform tests bench
 
 clean:
 	@rm -rf build build-asan build-tsan
--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -863,6 +863,9 @@
 const struct hs_backend *
 hs_fleet_least_busy (const struct hs_fleet *fleet, uint64_t service,
                      uint64_t now); /* Of any availability zone.  */
+bool hs_fleet_is_overloaded (const struct hs_fleet *fleet, uint64_t service,
+                             uint32_t slo_ms, uint32_t priority,
+                             uint64_t now); /* Refuse a new flow?  */
 size_t hs_fleet_of_service (const struct hs_fleet *fleet, uint64_t service,
                             const struct hs_backend **backends, size_t max,
                             uint64_t now); /* Those that may hold a flow; 0: of
--- a/src/segment/steering.c
+++ b/src/segment/steering.c
@@ -16,13 +16,6 @@
 /* Silence after which a flow is forgotten: twice the idle time of flows.  */
 #define FLOW_IDLE_MS 30000
 
-/* Share of the time that a latency objective leaves beside the work which a
-   new request may wait for a slot, and the priority from which on the lower
-   share holds.  */
-#define WAIT_HIGH_PERCENT 60
-#define WAIT_LOW_PERCENT 25
-#define PRIORITY_LOW 2
-
 /* The copy of a SYN from which on the agent that got the others is doubted. */
 #define COPY_DOUBTED 2
 
@@ -31,8 +24,8 @@
   struct hs_segment_flow base;
   uint64_t holder; /* Slot; 0: not known.  */
   uint64_t service;
-  uint64_t slo_us;       /* Latency objective of its route.  */
-  uint64_t wait_percent; /* See WAIT_HIGH_PERCENT.  */
+  uint32_t slo_ms;   /* Latency objective of its route.  */
+  uint32_t priority; /* Of its route.  */
   uint32_t syn_seq;
   size_t tried_len;
   uint64_t tried[HS_STEER_TRIES]; /* Slots that were offered the SYN.  */
@@ -64,8 +57,6 @@
                                    struct flow *flow,
                                    const struct hs_segment *segment,
                                    uint64_t now);
-static bool is_overloaded (const struct hs_steering *steering,
-                           const struct flow *flow, uint64_t now);
 static struct hs_steer place (struct hs_steering *steering, struct flow *flow,
                               uint64_t now);
 static struct hs_steer to_holder (struct hs_steering *steering,
@@ -175,7 +166,8 @@
       untry (flow, slot);
       return without (HS_STEER_DROP, reason);
     }
-  if (is_overloaded (steering, flow, now))
+  if (hs_fleet_is_overloaded (steering->fleet, flow->service, flow->slo_ms,
+                              flow->priority, now))
     return without (HS_STEER_RESET, HS_REASON_OVERLOADED);
   return place (steering, flow, now);
 }
@@ -243,9 +235,8 @@
   flow->service = hs_routing_pick (
       rule, hs_rank_score (flow->base.node.hash, segment->seq));
 
-  flow->slo_us = (uint64_t)rule->slo_ms * 1000;
-  flow->wait_percent
-      = rule->priority < PRIORITY_LOW ? WAIT_HIGH_PERCENT : WAIT_LOW_PERCENT;
+  flow->slo_ms = rule->slo_ms;
+  flow->priority = rule->priority;
   flow->syn_seq = segment->seq;
   flow->holder = 0;
   flow->tried_len = 0;
@@ -253,23 +244,6 @@
   return place (steering, flow, now);
 }
 
-/* Answers a load beyond what all upstreams of the service can do: a request
-   that would only be answered late, and make others late, is refused at once,
-   when it has not run.  The more urgent one may join the longer queue.  While
-   an upstream has a free slot, nothing is refused.  */
-static bool
-is_overloaded (const struct hs_steering *steering, const struct flow *flow,
-               uint64_t now)
-{
-  const struct hs_backend *best
-      = hs_fleet_least_busy (steering->fleet, flow->service, now);
-  uint64_t work_us = best != NULL ? best->report.work_us : 0;
-  uint64_t left_us = flow->slo_us > work_us ? flow->slo_us - work_us : 0;
-
-  return best != NULL && flow->slo_us > 0
-         && hs_fleet_wait_us (best) > left_us * flow->wait_percent / 100;
-}
-
 /* The caller counts its copies in the field ACK.  */
 static struct hs_steer
 repeat_syn (struct hs_steering *steering, struct flow *flow,
@@ -291,7 +265,9 @@
 {
   const struct hs_backend *backend = NULL;
 
-  if (flow->tried_len == 0 && is_overloaded (steering, flow, now))
+  if (flow->tried_len == 0
+      && hs_fleet_is_overloaded (steering->fleet, flow->service, flow->slo_ms,
+                                 flow->priority, now))
     return without (HS_STEER_RESET, HS_REASON_OVERLOADED);
   if (flow->tried_len < HS_STEER_TRIES)
     backend = hs_fleet_choose (steering->fleet, flow->service, flow->tried,
--- a/tests/fakes/group.c
+++ b/tests/fakes/group.c
@@ -426,6 +426,7 @@
                                 on_restore, on_save,  on_changed };
   struct hs_addr contacts[SEEDS];
   struct hs_replica *replica;
+  uint64_t lifetime;
 
   host->lifetime++;
   host->value = 0;
@@ -456,8 +457,9 @@
     contacts[i] = world->seeds.hosts[i].inner;
   hs_replica_set_contacts (replica, contacts, SEEDS);
   host->replica = replica;
+  lifetime = host->lifetime;
   hs_replica_start (replica, world->now);
-  if (host->replica != NULL)
+  if (host->lifetime == lifetime)
     add_event (world, world->now, EVENT_TICK, host->number);
 }
 
@@ -528,6 +530,7 @@
   struct host *host
       = redirect (&world->hosts[next_random (world) % world->hosts_len]);
   struct pending *pending;
+  uint64_t lifetime = host->lifetime;
   uint64_t version = ++world->next_version;
 
   if (world->now < CHANGES_MS)
@@ -541,7 +544,7 @@
                                .term = hs_replica_term (host->replica) };
   pending->index = hs_replica_propose (
       host->replica, (const uint8_t *)&version, sizeof version, world->now);
-  if (host->replica == NULL)
+  if (host->lifetime != lifetime)
     return;
   pending = &host->pending[host->pending_len++];
   *pending = (struct pending){ .floor = world->acknowledged,
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -8,6 +8,7 @@
 #include "base/settings.h"
 
 #include <fcntl.h>
+#include <glib/gstdio.h>
 #include <pthread.h>
 #include <string.h>
 
@@ -52,8 +53,22 @@
 static const struct hs_program program
     = { "test", NULL, settings_table, G_N_ELEMENTS (settings_table) };
 
+struct from_file
+{
+  const char *path;
+  const char *name;
+  struct hs_addrs seeds;
+};
+
 /* Private functions.  */
 
+static void
+on_nothing (void *ctx, uint64_t now)
+{
+  (void)ctx;
+  (void)now;
+}
+
 static bool
 match_element (const struct hs_table_node *node, const void *key)
 {
@@ -372,6 +387,116 @@
 
 /* Public definitions.  */
 
+/* The file comes after flags and variables; a misspelt name is an error.  */
+static void
+test_settings_file (void)
+{
+  static const struct hs_setting table[] = {
+    { "settings", HS_SETTING_STRING, "", 0, 0,
+      offsetof (struct from_file, path), "file" },
+    { "name", HS_SETTING_NAME, NULL, 0, 0, offsetof (struct from_file, name),
+      "a name" },
+    { "seeds", HS_SETTING_ADDRS, "", 0, 0, offsetof (struct from_file, seeds),
+      "seeds" },
+  };
+  static const struct hs_program with_file
+      = { "test", NULL, table, G_N_ELEMENTS (table) };
+  g_autofree char *folder = g_dir_make_tmp ("settings-XXXXXX", NULL);
+  g_autofree char *path = g_build_filename (folder, "file", NULL);
+  g_autofree char *flag = g_strdup_printf ("--settings=%s", path);
+  char *argv[] = { "test", flag };
+  char *argv_name[] = { "test", flag, "--name=flag" };
+  struct from_file fields;
+  g_autoptr (GError) error = NULL;
+
+  g_file_set_contents (path,
+                       "# a comment\n\nHIBISCUSSPAN_NAME=file\n"
+                       "HIBISCUSSPAN_SEEDS=10.0.0.1:1,10.0.0.2:2\n",
+                       -1, NULL);
+  g_assert_true (hs_settings_load (&with_file, 2, argv, &fields, NULL, NULL));
+  g_assert_cmpstr (fields.name, ==, "file");
+  g_assert_cmpuint (fields.seeds.len, ==, 2);
+  g_assert_cmpuint (fields.seeds.values[1].port, ==, 2);
+  g_assert_true (
+      hs_settings_load (&with_file, 3, argv_name, &fields, NULL, NULL));
+  g_assert_cmpstr (fields.name, ==, "flag");
+  g_file_set_contents (path, "HIBISCUSSPAN_NAM=file\n", -1, NULL);
+  g_assert_false (
+      hs_settings_load (&with_file, 2, argv, &fields, NULL, &error));
+  g_assert_error (error, HS_ERROR, HS_ERROR_INVALID);
+  g_assert_nonnull (strstr (error->message, "line 1"));
+  g_clear_error (&error);
+  g_file_set_contents (path, "HIBISCUSSPAN_NAME=file\nHIBISCUSSPAN_SEEDS=x\n",
+                       -1, NULL);
+  g_assert_false (
+      hs_settings_load (&with_file, 2, argv, &fields, NULL, &error));
+  g_assert_error (error, HS_ERROR, HS_ERROR_INVALID);
+  g_remove (path);
+  g_rmdir (folder);
+}
+
+static void
+test_histogram (void)
+{
+  HS_AUTO_TALLOC void *root = talloc_new (NULL);
+  struct hs_counters *counters = hs_counters_create (root, "test");
+  struct hs_histogram *histogram
+      = hs_histogram_create (counters, "wait_ms", "Wait.");
+  const char *text;
+
+  hs_histogram_add (histogram, 0);
+  hs_histogram_add (histogram, 2);
+  hs_histogram_add (histogram, 3);
+  hs_histogram_add (histogram, 99999);
+  text = hs_counters_format (root, counters);
+  g_assert_nonnull (strstr (text, "# TYPE test_wait_ms histogram\n"));
+  g_assert_nonnull (strstr (text, "test_wait_ms_bucket{le=\"1\"} 1\n"));
+  g_assert_nonnull (strstr (text, "test_wait_ms_bucket{le=\"2\"} 2\n"));
+  g_assert_nonnull (strstr (text, "test_wait_ms_bucket{le=\"10000\"} 3\n"));
+  g_assert_nonnull (strstr (text, "test_wait_ms_bucket{le=\"+Inf\"} 4\n"));
+  g_assert_nonnull (strstr (text, "test_wait_ms_sum 100004\n"));
+  g_assert_nonnull (strstr (text, "test_wait_ms_count 4\n"));
+}
+
+/* A flood of lines is bounded and counted, and hides no error.  */
+static void
+test_log_rate (void)
+{
+  HS_AUTO_FD int null = open ("/dev/null", O_WRONLY);
+  struct hs_log *log = hs_log_create ("test", null, HS_LOG_INFO);
+
+  hs_log_set_rate (log, 10);
+  for (int i = 0; i < 500; i++)
+    hs_log_write (log, HS_LOG_INFO, "flood", NULL);
+  /* At most two seconds were begun.  */
+  g_assert_cmpuint (hs_log_dropped (log), >=, 480);
+  g_assert_cmpuint (hs_log_dropped (log), <=, 490);
+  hs_log_write (log, HS_LOG_ERROR, "error", NULL);
+  g_assert_cmpuint (hs_log_dropped (log), <=, 490);
+  hs_log_destroy (log);
+}
+
+/* A loop that sleeps until the earliest timer misses none that is started
+   later and due sooner.  */
+static void
+test_timers_due (void)
+{
+  HS_AUTO_TALLOC void *root = talloc_new (NULL);
+  struct hs_timers *timers = hs_timers_create (root, 1000);
+  struct hs_timer late;
+  struct hs_timer soon;
+
+  hs_timer_init (&late, on_nothing, NULL);
+  hs_timer_init (&soon, on_nothing, NULL);
+  hs_timer_start (timers, &late, 3000);
+  g_assert_cmpuint (hs_timers_due (timers), >=, 3000);
+  g_assert_cmpuint (hs_timers_due (timers), <, 3010);
+  hs_timer_start (timers, &soon, 1500);
+  g_assert_cmpuint (hs_timers_due (timers), <, 1510);
+  hs_timers_advance (timers, 1510);
+  g_assert_cmpuint (hs_timers_due (timers), >=, 2990);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -387,5 +512,9 @@
   g_test_add_func ("/base/settings-environment", test_settings_environment);
   g_test_add_func ("/base/counters", test_counters);
   g_test_add_func ("/base/log", test_log);
+  g_test_add_func ("/base/settings-file", test_settings_file);
+  g_test_add_func ("/base/histogram", test_histogram);
+  g_test_add_func ("/base/log-rate", test_log_rate);
+  g_test_add_func ("/base/timers-due", test_timers_due);
   return g_test_run ();
 }
--- /dev/null
+++ b/tests/test_inner.c
@@ -0,0 +1,367 @@
+/* test_inner.c -- the messages of segment flows and of the control group. */
+
+#include "base/addr.h"
+#include "base/auto.h"
+#include "wire/configuration_message.h"
+#include "wire/inner.h"
+#include "wire/replica_message.h"
+
+#include <string.h>
+
+/* Types.  */
+
+#define MUTATIONS 100000
+#define DATA_SIZE 4096
+#define SAMPLES 12
+
+struct sample
+{
+  size_t len;
+  uint8_t data[DATA_SIZE];
+};
+
+/* Private functions.  */
+
+static struct hs_addr
+addr (uint32_t number)
+{
+  return hs_addr_from_ipv4 (0x0a000000 + number, (uint16_t)(1000 + number));
+}
+
+static struct hs_inner
+inner_sample (enum hs_inner_type type)
+{
+  struct hs_inner inner = { .type = type };
+
+  switch (type)
+    {
+    case HS_INNER_FORWARD:
+    case HS_INNER_REFUSED:
+      inner.header = (struct hs_inner_header){
+        .service = UINT64_MAX, .slot = 7, .ask = true, .reason = HS_REASON_SHED
+      };
+      break;
+    case HS_INNER_HELD:
+      inner.held = (struct hs_inner_held){ 9, true, { addr (1), addr (2) } };
+      break;
+    case HS_INNER_REPORT:
+      inner.report = (struct hs_load_report){ .slot = 1,
+                                              .incarnation = 2,
+                                              .seq = 3,
+                                              .service = 4,
+                                              .address = addr (5),
+                                              .state = HS_BACKEND_LEAVING,
+                                              .slots = 6,
+                                              .busy = 7,
+                                              .flows = 8,
+                                              .cold_ms = 9,
+                                              .work_us = 10,
+                                              .vacant = true,
+                                              .zone = "sic-ragusa" };
+      break;
+    case HS_INNER_SYNC:
+      inner.sync = (struct hs_inner_sync){ .role = HS_ROLE_ENTRY,
+                                           .slot = 1,
+                                           .incarnation = 2,
+                                           .version = 3,
+                                           .roster = 4,
+                                           .address = addr (5),
+                                           .name = "entry-1",
+                                           .zone = "sic-ragusa" };
+      break;
+    case HS_INNER_STATUS:
+      inner.status.version = 5;
+      inner.status.roster = 6;
+      inner.status.has_entries = true;
+      inner.status.controls.len = 2;
+      inner.status.controls.values[0] = addr (1);
+      inner.status.controls.values[1] = addr (2);
+      inner.status.entries.len = 1;
+      inner.status.entries.values[0] = addr (3);
+      break;
+    case HS_INNER_FETCH:
+      inner.part.version = 7;
+      inner.part.offset = 2200;
+      break;
+    case HS_INNER_PART:
+      inner.part.version = 7;
+      inner.part.total = 4000;
+      inner.part.offset = 1100;
+      inner.part.len = 3;
+      memcpy (inner.part.bytes, "abc", 3);
+      break;
+    case HS_INNER_NONE:
+    case HS_INNER_REPLICA:
+    case HS_INNER_TYPES:
+      break;
+    }
+  return inner;
+}
+
+static bool
+is_small (enum hs_inner_type type)
+{
+  return type != HS_INNER_NONE && type != HS_INNER_REPLICA;
+}
+
+static struct hs_configuration *
+configuration_sample (void *parent, size_t routes)
+{
+  struct hs_configuration *configuration
+      = talloc_zero (parent, struct hs_configuration);
+
+  configuration->version = 42;
+  configuration->flow_idle_ms = 15000;
+  configuration->services_len = 2;
+  configuration->services = talloc_array (configuration, const char *, 2);
+  configuration->services[0] = "alpha";
+  configuration->services[1] = "beta";
+  configuration->routes_len = routes;
+  configuration->routes
+      = talloc_zero_array (configuration, struct hs_service_route, routes);
+  for (size_t i = 0; i < routes; i++)
+    {
+      struct hs_service_route *route = &configuration->routes[i];
+
+      route->name = talloc_asprintf (configuration, "route-%zu", i);
+      route->address = addr ((uint32_t)i);
+      route->work = HS_WORK_UPLOAD;
+      route->timeout_ms = 3000;
+      route->slo_ms = 500;
+      route->priority = 2;
+      route->splits_len = 2;
+      route->splits = talloc_zero_array (configuration, struct hs_split, 2);
+      route->splits[0] = (struct hs_split){ "alpha", 90 };
+      route->splits[1] = (struct hs_split){ "beta", 10 };
+    }
+  return configuration;
+}
+
+static struct hs_log_entry
+entry_sample (void)
+{
+  struct hs_log_entry entry = { .index = 8,
+                                .term = 3,
+                                .kind = HS_LOG_MEMBERS,
+                                .len = 5,
+                                .data = (uint8_t *)"hello" };
+
+  entry.members.len = 2;
+  entry.members.hosts[0] = (struct hs_control_host){ 11, addr (1), addr (2) };
+  entry.members.hosts[1] = (struct hs_control_host){ 12, addr (3), addr (4) };
+  return entry;
+}
+
+static void
+check_entry (const struct hs_log_entry *entry)
+{
+  g_assert_cmpuint (entry->index, ==, 8);
+  g_assert_cmpuint (entry->term, ==, 3);
+  g_assert_cmpint (entry->kind, ==, HS_LOG_MEMBERS);
+  g_assert_cmpuint (entry->members.len, ==, 2);
+  g_assert_cmpuint (entry->members.hosts[1].id, ==, 12);
+  g_assert_cmpmem (entry->data, entry->len, "hello", 5);
+}
+
+static void
+test_round_trip (void)
+{
+  for (int type = HS_INNER_FORWARD; type < HS_INNER_TYPES; type++)
+    {
+      struct hs_inner inner = inner_sample ((enum hs_inner_type)type);
+      struct hs_inner copy = { .type = HS_INNER_NONE };
+      uint8_t first[HS_INNER_SIZE_MAX + 8] = { 0 };
+      uint8_t second[HS_INNER_SIZE_MAX];
+      size_t len;
+
+      if (!is_small ((enum hs_inner_type)type))
+        continue;
+      len = hs_inner_encode (&inner, first);
+      /* What stands behind it is not its own.  */
+      g_assert_cmpuint (hs_inner_decode (first, len + 8, &copy), ==, len);
+      g_assert_cmpuint (hs_inner_encode (&copy, second), ==, len);
+      g_assert_cmpmem (first, len, second, len);
+      for (size_t cut = 0; cut < len; cut++)
+        g_assert_cmpuint (hs_inner_decode (first, cut, &copy), ==, 0);
+    }
+}
+
+static void
+test_header_fits_in_front (void)
+{
+  struct hs_inner inner = inner_sample (HS_INNER_FORWARD);
+  uint8_t bytes[HS_INNER_SIZE_MAX];
+
+  g_assert_cmpuint (hs_inner_encode (&inner, bytes), <=, HS_INNER_HEADER_MAX);
+}
+
+static void
+test_configuration (void)
+{
+  HS_AUTO_TALLOC void *root = talloc_new (NULL);
+  size_t len;
+  uint8_t *data
+      = hs_configuration_encode (root, configuration_sample (root, 460), &len);
+  struct hs_configuration *copy
+      = hs_configuration_decode (root, data, len, NULL);
+
+  g_assert_nonnull (copy);
+  g_assert_cmpuint (copy->version, ==, 42);
+  g_assert_cmpuint (copy->routes_len, ==, 460);
+  g_assert_cmpstr (copy->routes[459].name, ==, "route-459");
+  g_assert_cmpstr (copy->routes[459].splits[1].service, ==, "beta");
+  g_assert_cmpuint (copy->routes[459].splits[1].weight, ==, 10);
+  g_assert_cmpuint (len, <, HS_COMMAND_SIZE_MAX);
+  for (size_t cut = 0; cut < len; cut += 13)
+    g_assert_null (hs_configuration_decode (root, data, cut, NULL));
+}
+
+static void
+test_replica_message (void)
+{
+  HS_AUTO_TALLOC void *root = talloc_new (NULL);
+  struct hs_log_entry entry = entry_sample ();
+  struct hs_log_base base
+      = { .index = 4, .term = 2, .len = 2, .data = (uint8_t *)"ab" };
+  struct hs_replica_message message = { .type = HS_REPLICA_APPEND,
+                                        .to = 9,
+                                        .from = { 1, addr (1), addr (2) },
+                                        .term = 3,
+                                        .index = 7,
+                                        .log_term = 2,
+                                        .commit = 6,
+                                        .round = 5,
+                                        .entries_len = 1,
+                                        .entries = { &entry } };
+  struct hs_replica_message *copy;
+  size_t len;
+  uint8_t *data = hs_replica_message_encode (root, &message, &len);
+
+  copy = hs_replica_message_decode (root, data, len, NULL);
+  g_assert_nonnull (copy);
+  g_assert_cmpuint (copy->commit, ==, 6);
+  g_assert_cmpuint (copy->entries_len, ==, 1);
+  check_entry (copy->entries[0]);
+  message.entries_len = 0;
+  message.type = HS_REPLICA_BASE;
+  message.base = &base;
+  data = hs_replica_message_encode (root, &message, &len);
+  copy = hs_replica_message_decode (root, data, len, NULL);
+  g_assert_nonnull (copy);
+  g_assert_cmpmem (copy->base->data, copy->base->len, "ab", 2);
+}
+
+static void
+test_replica_records (void)
+{
+  HS_AUTO_TALLOC void *root = talloc_new (NULL);
+  struct hs_log_entry entry = entry_sample ();
+  struct hs_replica_record record
+      = { .type = HS_REPLICA_RECORD_ENTRY, .entry = &entry };
+  struct hs_replica_record *copy;
+  size_t len;
+  uint8_t *data = hs_replica_record_encode (root, &record, &len);
+
+  copy = hs_replica_record_decode (root, data, len, NULL);
+  g_assert_nonnull (copy);
+  check_entry (copy->entry);
+  record = (struct hs_replica_record){ .type = HS_REPLICA_RECORD_TERM,
+                                       .term = 5,
+                                       .vote = 6 };
+  data = hs_replica_record_encode (root, &record, &len);
+  copy = hs_replica_record_decode (root, data, len, NULL);
+  g_assert_cmpuint (copy->term, ==, 5);
+  g_assert_cmpuint (copy->vote, ==, 6);
+}
+
+static void
+fill_samples (void *root, struct sample *samples)
+{
+  struct hs_log_entry entry = entry_sample ();
+  struct hs_replica_message message
+      = { .type = HS_REPLICA_APPEND, .entries_len = 1, .entries = { &entry } };
+  struct hs_replica_record record
+      = { .type = HS_REPLICA_RECORD_ENTRY, .entry = &entry };
+  struct hs_stored_configuration stored
+      = { 1, 3, (const uint8_t *)"abc", 2, (const uint8_t *)"de" };
+  uint8_t *data;
+  size_t at = 0;
+
+  for (int type = HS_INNER_FORWARD; type < HS_INNER_TYPES; type++)
+    if (is_small ((enum hs_inner_type)type))
+      {
+        struct hs_inner inner = inner_sample ((enum hs_inner_type)type);
+
+        samples[at].len = hs_inner_encode (&inner, samples[at].data);
+        at++;
+      }
+  data = hs_replica_message_encode (root, &message, &samples[at].len);
+  memcpy (samples[at].data, data, samples[at].len);
+  at++;
+  data = hs_replica_record_encode (root, &record, &samples[at].len);
+  memcpy (samples[at].data, data, samples[at].len);
+  at++;
+  data = hs_stored_configuration_encode (root, &stored, &samples[at].len);
+  memcpy (samples[at].data, data, samples[at].len);
+  at++;
+  data = hs_configuration_encode (root, configuration_sample (root, 3),
+                                  &samples[at].len);
+  memcpy (samples[at].data, data, samples[at].len);
+  at++;
+  g_assert_cmpuint (at, ==, SAMPLES);
+}
+
+/* Whatever the bytes, a decoder returns; the sanitizers watch the rest.  */
+static void
+test_mutations (void)
+{
+  HS_AUTO_TALLOC void *root = talloc_new (NULL);
+  g_autoptr (GRand) rand = g_rand_new_with_seed (5);
+  struct sample *samples = talloc_zero_array (root, struct sample, SAMPLES);
+  size_t accepted = 0;
+
+  fill_samples (root, samples);
+  for (int i = 0; i < MUTATIONS; i++)
+    {
+      void *scratch = talloc_new (root);
+      const struct sample *sample
+          = &samples[g_rand_int_range (rand, 0, SAMPLES)];
+      struct sample mutant = *sample;
+      struct hs_inner inner;
+
+      for (int k = g_rand_int_range (rand, 0, 4); k > 0; k--)
+        mutant.data[g_rand_int_range (rand, 0, (int)mutant.len)]
+            = (uint8_t)g_rand_int_range (rand, 0, 256);
+      if (g_rand_int_range (rand, 0, 4) == 0)
+        mutant.len = (size_t)g_rand_int_range (rand, 0, (int)mutant.len);
+      accepted += hs_inner_decode (mutant.data, mutant.len, &inner) > 0;
+      accepted
+          += hs_replica_message_decode (scratch, mutant.data, mutant.len, NULL)
+             != NULL;
+      accepted
+          += hs_replica_record_decode (scratch, mutant.data, mutant.len, NULL)
+             != NULL;
+      accepted += hs_stored_configuration_decode (scratch, mutant.data,
+                                                  mutant.len, NULL)
+                  != NULL;
+      accepted
+          += hs_configuration_decode (scratch, mutant.data, mutant.len, NULL)
+             != NULL;
+      talloc_free (scratch);
+    }
+  g_assert_cmpuint (accepted, >, 0);
+  g_assert_cmpuint (accepted, <, MUTATIONS);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/inner/round-trip", test_round_trip);
+  g_test_add_func ("/inner/header", test_header_fits_in_front);
+  g_test_add_func ("/inner/configuration", test_configuration);
+  g_test_add_func ("/inner/replica-message", test_replica_message);
+  g_test_add_func ("/inner/replica-records", test_replica_records);
+  g_test_add_func ("/inner/mutations", test_mutations);
+  return g_test_run ();
+}
--- a/tests/test_journal.c
+++ b/tests/test_journal.c
@@ -181,6 +181,57 @@
 
 /* Public definitions.  */
 
+/* A whole image takes the place of all records, and what is appended then
+   goes behind it.  */
+static void
+test_replaced (void)
+{
+  size_t len;
+  char *file;
+  char *folder = write_sample (&file, &len);
+  struct replayed replayed;
+  struct hs_journal *journal = open_journal (folder, &replayed, NULL);
+  struct hs_journal_item items[]
+      = { { (const uint8_t *)"one", 3 }, { (const uint8_t *)"two", 3 } };
+
+  g_assert_cmpuint (hs_journal_size (journal), ==, len);
+  g_assert_true (hs_journal_replace (journal, items, 2, NULL));
+  append (journal, "three");
+  hs_journal_close (journal);
+  journal = open_journal (folder, &replayed, NULL);
+  g_assert_cmpuint (replayed.len, ==, 3);
+  g_assert_cmpstr (replayed.texts[0], ==, "one");
+  g_assert_cmpstr (replayed.texts[2], ==, "three");
+  hs_journal_close (journal);
+  remove_sample (folder, file);
+}
+
+/* Where the new file cannot be written, the old records stay.  */
+static void
+test_not_replaced (void)
+{
+  size_t len;
+  char *file;
+  char *folder = write_sample (&file, &len);
+  g_autofree char *in_the_way = g_strdup_printf ("%s.new", file);
+  struct replayed replayed;
+  struct hs_journal *journal = open_journal (folder, &replayed, NULL);
+  struct hs_journal_item item = { (const uint8_t *)"one", 3 };
+  g_autoptr (GError) error = NULL;
+
+  g_mkdir (in_the_way, 0700);
+  g_assert_false (hs_journal_replace (journal, &item, 1, &error));
+  g_assert_error (error, HS_ERROR, HS_ERROR_SYSTEM);
+  g_rmdir (in_the_way);
+  append (journal, "six");
+  hs_journal_close (journal);
+  journal = open_journal (folder, &replayed, NULL);
+  g_assert_cmpuint (replayed.len, ==, RECORDS + 1);
+  g_assert_cmpstr (replayed.texts[RECORDS], ==, "six");
+  hs_journal_close (journal);
+  remove_sample (folder, file);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -189,5 +240,7 @@
   g_test_add_func ("/journal/damaged", test_damaged);
   g_test_add_func ("/journal/zeros", test_zeros);
   g_test_add_func ("/journal/no-folder", test_no_folder);
+  g_test_add_func ("/journal/replaced", test_replaced);
+  g_test_add_func ("/journal/not-replaced", test_not_replaced);
   return g_test_run ();
 }
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -85,12 +85,13 @@
   static uint64_t seq;
   struct hs_load_report load = { .slot = hs_slot_from_name (name),
                                  .incarnation = 1,
-                                 .seq = ++seq,
+
                                  .service = hs_slot_from_name (ALPHA),
                                  .state = state,
                                  .slots = 7,
                                  .busy = busy };
 
+  load.seq = ++seq;
   g_strlcpy (load.zone, zone, sizeof load.zone);
   hs_fleet_report (entry->fleet, &load, now);
 }
