--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -813,6 +813,8 @@
   HS_BACKEND_ABSENT   /* Its upstream is not heard of, or silent.  */
 };
 
+const char *hs_backend_state_name (enum hs_backend_state state);
+
 struct hs_load_report
 {
   uint64_t slot; /* Of the agent.  */
@@ -892,6 +894,8 @@
   bool placed; /* FORWARD: the flow is new.  */
   bool ask;    /* FORWARD: only the agent that holds the flow takes it, and
                   says so.  */
+  const struct hs_backend *least_busy; /* RESET as overloaded: by whose
+                                          load.  */
   size_t len;
   const struct hs_backend *to[HS_STEER_MAX];
 };
--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -335,10 +335,10 @@
   if (load.state != agent->reported)
     {
       hs_log_write (agent->log, HS_LOG_INFO, "upstream-state",
-                    "{s:s, s:i, s:I, s:I, s:i}", "upstream", call->id, "state",
-                    (int)load.state, "born", (json_int_t)call->heartbeat.born,
-                    "seq", (json_int_t)call->heartbeat.seq, "slots",
-                    (int)load.slots);
+                    "{s:s, s:s, s:I, s:I, s:i}", "upstream", call->id, "state",
+                    hs_backend_state_name (load.state), "born",
+                    (json_int_t)call->heartbeat.born, "seq",
+                    (json_int_t)call->heartbeat.seq, "slots", (int)load.slots);
       send_reports (agent, now);
     }
   hs_http_answer (call->request, STATUS_OK, "application/json", "{}");
@@ -421,8 +421,9 @@
   hs_counter_set (agent->counts.flows, load.flows);
   hs_counter_set (agent->counts.state, load.state);
   if (load.state != agent->reported)
-    hs_log_write (agent->log, HS_LOG_WARNING, "upstream-state", "{s:i, s:i}",
-                  "state", (int)load.state, "busy", (int)load.busy);
+    hs_log_write (agent->log, HS_LOG_WARNING, "upstream-state", "{s:s, s:i}",
+                  "state", hs_backend_state_name (load.state), "busy",
+                  (int)load.busy);
   if (load.state != agent->reported || now >= agent->report_due)
     send_reports (agent, now);
   if (agent->drained_due != 0 && now >= agent->drained_due)
@@ -555,10 +556,11 @@
     return;
   hs_addr_format (&segment->from, from);
   hs_addr_format (&segment->to, to);
-  hs_log_write (agent->log, HS_LOG_INFO, event, "{s:s, s:s, s:s, s:i, s:I}",
+  hs_log_write (agent->log, HS_LOG_INFO, event, "{s:s, s:s, s:s, s:s, s:I}",
                 "from", from, "to", to, "reason",
-                hs_reason_name (step->reason), "state", (int)agent->reported,
-                "answered_ms", (json_int_t)step->answered_ms);
+                hs_reason_name (step->reason), "state",
+                hs_backend_state_name (agent->reported), "answered_ms",
+                (json_int_t)step->answered_ms);
 }
 
 static void
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -95,6 +95,10 @@
 static void log_steer (struct hs_segment_entry *entry,
                        const struct hs_segment *segment,
                        const struct hs_steer *steer, uint64_t now);
+static void log_load (struct hs_segment_entry *entry, const char *event,
+                      const char *caller, const char *address,
+                      const struct hs_backend *backend, uint64_t now);
+static json_int_t version_of (const struct hs_segment_entry *entry);
 static void update_ready (struct hs_segment_entry *entry, uint64_t now);
 
 /* Public definitions.  */
@@ -301,9 +305,9 @@
     return;
   hs_addr_format (&report->address, address);
   hs_log_write (entry->log, HS_LOG_INFO, "agent-changed",
-                "{s:s, s:s, s:i, s:i, s:I}", "agent", address, "zone",
-                report->zone, "state", (int)report->state, "slots",
-                (int)report->slots, "incarnation",
+                "{s:s, s:s, s:s, s:i, s:I}", "agent", address, "zone",
+                report->zone, "state", hs_backend_state_name (report->state),
+                "slots", (int)report->slots, "incarnation",
                 (json_int_t)report->incarnation);
 }
 
@@ -448,36 +452,50 @@
 {
   char caller[HS_ADDR_TEXT_SIZE];
   char address[HS_ADDR_TEXT_SIZE];
-  json_int_t version = entry->routing != NULL
-                           ? (json_int_t)hs_routing_version (entry->routing)
-                           : 0;
 
   if (steer->kind == HS_STEER_FORWARD && !steer->placed && !steer->ask)
     return;
   hs_addr_format (&segment->from, caller);
   hs_addr_format (&segment->to, address);
   if (steer->kind == HS_STEER_FORWARD && steer->placed)
-    {
-      const struct hs_backend *backend = steer->to[0];
-      char agent[HS_ADDR_TEXT_SIZE];
-
-      hs_addr_format (&backend->report.address, agent);
-      hs_log_write (entry->log, HS_LOG_INFO, "flow-placed",
-                    "{s:s, s:s, s:I, s:s, s:i, s:i, s:I, s:b}", "caller",
-                    caller, "address", address, "version", version, "agent",
-                    agent, "busy", (int)backend->report.busy, "slots",
-                    (int)backend->report.slots, "report_age_ms",
-                    (json_int_t)(now - backend->heard_at), "in_zone",
-                    backend->in_zone);
-      return;
-    }
-  hs_log_write (entry->log, HS_LOG_INFO,
-                steer->kind == HS_STEER_FORWARD ? "holder-asked"
-                : steer->kind == HS_STEER_RESET ? "flow-reset"
-                                                : "segment-dropped",
-                "{s:s, s:s, s:I, s:s, s:i}", "caller", caller, "address",
-                address, "version", version, "reason",
-                hs_reason_name (steer->reason), "agents", (int)steer->len);
+    log_load (entry, "flow-placed", caller, address, steer->to[0], now);
+  else if (steer->least_busy != NULL)
+    log_load (entry, "flow-refused", caller, address, steer->least_busy, now);
+  else
+    hs_log_write (entry->log, HS_LOG_INFO,
+                  steer->kind == HS_STEER_FORWARD ? "holder-asked"
+                  : steer->kind == HS_STEER_RESET ? "flow-reset"
+                                                  : "segment-dropped",
+                  "{s:s, s:s, s:I, s:s, s:i}", "caller", caller, "address",
+                  address, "version", version_of (entry), "reason",
+                  hs_reason_name (steer->reason), "agents", (int)steer->len);
+}
+
+/* A decision made by the load of BACKEND.  */
+static void
+log_load (struct hs_segment_entry *entry, const char *event,
+          const char *caller, const char *address,
+          const struct hs_backend *backend, uint64_t now)
+{
+  char agent[HS_ADDR_TEXT_SIZE];
+
+  hs_addr_format (&backend->report.address, agent);
+  hs_log_write (
+      entry->log, HS_LOG_INFO, event,
+      "{s:s, s:s, s:I, s:s, s:i, s:i, s:i, s:I, s:I, s:b}", "caller", caller,
+      "address", address, "version", version_of (entry), "agent", agent,
+      "busy", (int)backend->report.busy, "slots", (int)backend->report.slots,
+      "placed_since", (int)backend->placed, "wait_ms",
+      (json_int_t)(hs_fleet_wait_us (backend) / 1000), "report_age_ms",
+      (json_int_t)(now - backend->heard_at), "in_zone", backend->in_zone);
+}
+
+static json_int_t
+version_of (const struct hs_segment_entry *entry)
+{
+  return entry->routing != NULL
+             ? (json_int_t)hs_routing_version (entry->routing)
+             : 0;
 }
 
 static void
--- a/src/segment/fleet.c
+++ b/src/segment/fleet.c
@@ -48,6 +48,16 @@
 
 /* Public definitions.  */
 
+const char *
+hs_backend_state_name (enum hs_backend_state state)
+{
+  static const char *const names[] = { [HS_BACKEND_READY] = "ready",
+                                       [HS_BACKEND_LEAVING] = "leaving",
+                                       [HS_BACKEND_ABSENT] = "absent" };
+
+  return names[state];
+}
+
 struct hs_fleet *
 hs_fleet_create (void *parent, const char *zone)
 {
--- a/src/segment/steering.c
+++ b/src/segment/steering.c
@@ -76,6 +76,8 @@
 static struct hs_steer to_one (const struct hs_backend *backend, bool placed);
 static struct hs_steer without (enum hs_steer_kind kind,
                                 enum hs_reason reason);
+static struct hs_steer overloaded (const struct hs_steering *steering,
+                                   const struct flow *flow, uint64_t now);
 static struct flow *get_flow (struct hs_steering *steering,
                               const struct hs_segment_key *key, uint64_t now);
 static void untry (struct flow *flow, uint64_t slot);
@@ -168,7 +170,7 @@
     }
   if (hs_fleet_is_overloaded (steering->fleet, flow->service, flow->slo_ms,
                               flow->priority, now))
-    return without (HS_STEER_RESET, HS_REASON_OVERLOADED);
+    return overloaded (steering, flow, now);
   return place (steering, flow, now);
 }
 
@@ -268,7 +270,7 @@
   if (flow->tried_len == 0
       && hs_fleet_is_overloaded (steering->fleet, flow->service, flow->slo_ms,
                                  flow->priority, now))
-    return without (HS_STEER_RESET, HS_REASON_OVERLOADED);
+    return overloaded (steering, flow, now);
   if (flow->tried_len < HS_STEER_TRIES)
     backend = hs_fleet_choose (steering->fleet, flow->service, flow->tried,
                                flow->tried_len, now);
@@ -396,6 +398,16 @@
   return (struct hs_steer){ .kind = kind, .reason = reason };
 }
 
+static struct hs_steer
+overloaded (const struct hs_steering *steering, const struct flow *flow,
+            uint64_t now)
+{
+  struct hs_steer steer = without (HS_STEER_RESET, HS_REASON_OVERLOADED);
+
+  steer.least_busy = hs_fleet_least_busy (steering->fleet, flow->service, now);
+  return steer;
+}
+
 static struct flow *
 get_flow (struct hs_steering *steering, const struct hs_segment_key *key,
           uint64_t now)
