Hold a flow open only once its handshake has ended here

When the entry woke it placed the old SYN, and held that agent to be the holder. Five seconds later a segment came by that entry; the upstream gave it back, and the agent reset a flow that it took for open since the SYN+ACK. Ruled out: a restarted agent (none of the two had been), a reused port.

Change: a flow is open at an agent with the end of the handshake or payload of the upstream. A segment that acknowledges another upstream's handshake is not delivered, and is denied, also when it is not asked for; so is what the upstream gives back. An entry then looks for the holder.

Tests: answered-not-open, late-segments, wrong-holder.

--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -48,10 +48,14 @@
 
 enum flow_state
 {
-  FLOW_OPENING, /* Its SYN went to the upstream.  */
-  FLOW_OPEN,    /* The upstream has answered.  */
-  FLOW_PROBED,  /* Not known; a segment went to the upstream.  */
-  FLOW_NOT_HELD /* The upstream gave it back.  */
+  FLOW_OPENING,  /* Its SYN went to the upstream.  */
+  FLOW_ANSWERED, /* The upstream has answered it; the caller may take the
+                    handshake of another one.  */
+  FLOW_OPEN,     /* The upstream has the end of the handshake.  */
+  FLOW_LATE,     /* Not known, but an entry holds it to be here: most likely
+                    both ends have closed it.  */
+  FLOW_PROBED,   /* Not known; a segment went to the upstream.  */
+  FLOW_NOT_HELD  /* The upstream gave it back.  */
 };
 
 struct flow
@@ -121,7 +125,8 @@
                                              uint64_t now);
 static struct hs_sidecar_step disown (struct hs_sidecar *sidecar,
                                       struct flow *flow, uint64_t now);
-static struct hs_sidecar_step deny (const struct hs_addr *entry, bool ask);
+static struct hs_sidecar_step deny (const struct hs_addr *entry);
+static bool is_opened_by (struct flow *flow, const struct hs_segment *segment);
 static struct hs_sidecar_step step (enum hs_sidecar_action action,
                                     enum hs_reason reason);
 static void lose_flows (struct hs_sidecar *sidecar);
@@ -240,9 +245,10 @@
     return take_unknown (sidecar, segment, entry, ask, now);
   if (flow->state == FLOW_NOT_HELD
       && now - flow->base.active_at <= NOT_HELD_MS)
-    return deny (entry, ask);
-  if (flow->state == FLOW_PROBED && sidecar->learn_until == 0 && ask)
-    return deny (entry, ask);
+    return deny (entry);
+  if ((flow->state == FLOW_PROBED || flow->state == FLOW_LATE)
+      && sidecar->learn_until == 0 && ask)
+    return deny (entry);
   hs_flow_table_touch (sidecar->flows, &flow->base, now);
   return take_known (sidecar, flow, segment, entry, ask, now);
 }
@@ -270,7 +276,7 @@
       && (flow->state == FLOW_PROBED || flow->state == FLOW_NOT_HELD))
     return disown (sidecar, flow, now);
   flow = get_flow (sidecar, &key, now);
-  if (flow->state != FLOW_OPEN || !flow->is_open)
+  if (is_opened_by (flow, segment))
     {
       answer.opened = true;
       answer.claim = flow->asked ? HS_CLAIM_HELD : HS_CLAIM_NONE;
@@ -379,11 +385,9 @@
   struct flow *flow;
 
   if (sidecar->learn_until == 0 && ask)
-    return deny (entry, ask);
-  if (sidecar->learn_until == 0)
-    return step (HS_SIDECAR_DELIVER, HS_REASON_NONE);
+    return deny (entry);
   flow = get_flow (sidecar, &key, now);
-  flow->state = FLOW_PROBED;
+  flow->state = sidecar->learn_until == 0 ? FLOW_LATE : FLOW_PROBED;
   flow->asked = ask;
   flow->entry = *entry;
   if (segment->len > 0)
@@ -398,10 +402,15 @@
 {
   struct hs_sidecar_step deliver = step (HS_SIDECAR_DELIVER, HS_REASON_NONE);
 
-  if (ask && is_of_another (flow, segment))
-    return deny (entry, ask);
+  if (is_of_another (flow, segment))
+    return deny (entry);
   if (flow->state == FLOW_NOT_HELD)
     flow->state = FLOW_PROBED;
+  if (flow->state == FLOW_ANSWERED)
+    {
+      flow->state = FLOW_OPEN;
+      set_open (sidecar, flow, true);
+    }
   flow->entry = *entry;
   if (flow->state == FLOW_PROBED)
     flow->asked = flow->asked || ask;
@@ -450,7 +459,7 @@
 static struct hs_sidecar_step
 disown (struct hs_sidecar *sidecar, struct flow *flow, uint64_t now)
 {
-  struct hs_sidecar_step gone = deny (&flow->entry, flow->asked);
+  struct hs_sidecar_step gone = deny (&flow->entry);
 
   flow->asked = false;
   set_busy (sidecar, flow, false);
@@ -460,12 +469,13 @@
   return gone;
 }
 
+/* The entry that sends a flow here, or asks for it, must look elsewhere.  */
 static struct hs_sidecar_step
-deny (const struct hs_addr *entry, bool ask)
+deny (const struct hs_addr *entry)
 {
   struct hs_sidecar_step drop = step (HS_SIDECAR_DROP, HS_REASON_WRONG_HOST);
 
-  drop.claim = ask ? HS_CLAIM_DENIED : HS_CLAIM_NONE;
+  drop.claim = HS_CLAIM_DENIED;
   drop.entry = *entry;
   return drop;
 }
@@ -545,6 +555,32 @@
                    / 100);
 }
 
+/* Whether SEGMENT of the upstream shows that it holds FLOW, which was not
+   known before.  */
+static bool
+is_opened_by (struct flow *flow, const struct hs_segment *segment)
+{
+  bool answers_syn = (segment->flags & HS_SEGMENT_SYN) != 0;
+
+  switch (flow->state)
+    {
+    case FLOW_OPENING:
+      if (answers_syn)
+        flow->state = FLOW_ANSWERED;
+      return !answers_syn;
+    case FLOW_ANSWERED:
+      return !answers_syn;
+    case FLOW_LATE:
+      return segment->len > 0;
+    case FLOW_OPEN:
+      return false;
+    case FLOW_PROBED:
+    case FLOW_NOT_HELD:
+      return true;
+    }
+  return false;
+}
+
 /* A copy of the SYN may have been answered by another upstream, whose
    handshake the caller has taken.  */
 static bool
--- a/src/segment/steering.c
+++ b/src/segment/steering.c
@@ -189,7 +189,12 @@
 {
   struct flow *flow = hs_flow_table_find (steering->flows, key);
 
-  if (flow == NULL || flow->holder != 0 || flow->tried_len > 0)
+  if (flow == NULL)
+    return;
+  untry (flow, slot);
+  if (flow->holder == slot)
+    flow->holder = 0;
+  if (flow->holder != 0 || flow->tried_len > 0)
     return;
   if (!is_denied_by (flow, slot) && flow->denied_len < HS_STEER_MAX)
     {
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -589,8 +589,30 @@
   g_assert_cmpuint (slot_of (&steer), ==, hs_slot_from_name ("z"));
   /* The holder is known: late denials of others change nothing.  */
   deny (&entry, &data, "y");
-  deny (&entry, &data, "z");
+  deny (&entry, &data, "x");
+  g_assert_cmpuint (entry.reset->len, ==, 0);
+  steer = hs_steering_route (entry.steering, &data, 11);
+  g_assert_cmpuint (slot_of (&steer), ==, hs_slot_from_name ("z"));
+  talloc_free (entry.root);
+}
+
+/* An agent denies a flow that this entry held to be there.  */
+static void
+test_wrong_holder_is_looked_for (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment syn = segment_of (HS_SEGMENT_SYN, 9, 100, 0, 0);
+  struct hs_segment data = segment_of (HS_SEGMENT_ACK, 9, 101, 501, 50);
+  struct hs_steer steer = hs_steering_route (entry.steering, &syn, 0);
+
+  g_assert_cmpuint (slot_of (&steer), ==, hs_slot_from_name ("x"));
+  steer = hs_steering_route (entry.steering, &data, 5);
+  g_assert_cmpuint (slot_of (&steer), ==, hs_slot_from_name ("x"));
+  deny (&entry, &data, "x");
   g_assert_cmpuint (entry.reset->len, ==, 0);
+  steer = hs_steering_route (entry.steering, &data, 10);
+  g_assert_true (steer.ask);
+  g_assert_cmpuint (steer.len, ==, 3);
   talloc_free (entry.root);
 }
 
@@ -928,6 +950,70 @@
   talloc_free (root);
 }
 
+/* A SYN that a frozen entry had kept was offered here as well, and answered;
+   the caller had long taken the handshake of another upstream.  */
+static void
+test_answered_flow_is_not_open (void)
+{
+  void *root = talloc_new (NULL);
+  struct lost lost = { 0 };
+  struct hs_sidecar *sidecar = sidecar_create (root, &lost, 1000);
+  struct hs_segment syn = segment_of (HS_SEGMENT_SYN, 9, 100, 0, 0);
+  struct hs_segment open
+      = answer_to (&syn, HS_SEGMENT_SYN | HS_SEGMENT_ACK, 500, 0);
+  struct hs_segment data = segment_of (HS_SEGMENT_ACK, 9, 101, 0x90000000, 50);
+  struct hs_segment first = segment_of (HS_SEGMENT_ACK, 9, 101, 501, 0);
+  struct hs_sidecar_step step;
+
+  beat (sidecar, HS_UPSTREAM_READY, 2000, 1, 0);
+  from_entry (sidecar, &syn, false, 0);
+  hs_sidecar_from_upstream (sidecar, &open, 1);
+  g_assert_cmpuint (load_of (sidecar).flows, ==, 0);
+  /* The entry that kept it holds this to be the holder.  */
+  step = from_entry (sidecar, &data, false, 2);
+  g_assert_cmpint (step.action, ==, HS_SIDECAR_DROP);
+  g_assert_cmpint (step.claim, ==, HS_CLAIM_DENIED);
+  /* Given back by the upstream it is no reason for a reset.  */
+  data.flags |= HS_SEGMENT_RETURNED;
+  step = hs_sidecar_from_upstream (sidecar, &data, 3);
+  g_assert_cmpint (step.action, ==, HS_SIDECAR_DROP);
+  /* With the end of the handshake the flow is open.  */
+  syn.from.port = first.from.port = 10;
+  open = answer_to (&syn, HS_SEGMENT_SYN | HS_SEGMENT_ACK, 500, 0);
+  from_entry (sidecar, &syn, false, 4);
+  hs_sidecar_from_upstream (sidecar, &open, 5);
+  from_entry (sidecar, &first, false, 6);
+  g_assert_cmpuint (load_of (sidecar).flows, ==, 1);
+  first.flags |= HS_SEGMENT_RETURNED;
+  g_assert_cmpint (hs_sidecar_from_upstream (sidecar, &first, 7).action, ==,
+                   HS_SIDECAR_RESET);
+  talloc_free (root);
+}
+
+/* What comes after the end of a flow goes to the upstream, and does not count
+   as a flow; what it gives back is denied.  */
+static void
+test_late_segments (void)
+{
+  void *root = talloc_new (NULL);
+  struct lost lost = { 0 };
+  struct hs_sidecar *sidecar = sidecar_create (root, &lost, 1000);
+  struct hs_segment ack = segment_of (HS_SEGMENT_ACK, 9, 101, 501, 0);
+  struct hs_segment answer = answer_to (&ack, HS_SEGMENT_ACK, 501, 0);
+  struct hs_sidecar_step step;
+
+  beat (sidecar, HS_UPSTREAM_READY, 2000, 1, 0);
+  g_assert_cmpint (from_entry (sidecar, &ack, false, 1).action, ==,
+                   HS_SIDECAR_DELIVER);
+  hs_sidecar_from_upstream (sidecar, &answer, 2);
+  g_assert_cmpuint (load_of (sidecar).flows, ==, 0);
+  ack.flags |= HS_SEGMENT_RETURNED;
+  step = hs_sidecar_from_upstream (sidecar, &ack, 3);
+  g_assert_cmpint (step.action, ==, HS_SIDECAR_DROP);
+  g_assert_cmpint (step.claim, ==, HS_CLAIM_DENIED);
+  talloc_free (root);
+}
+
 static void
 test_new_start_loses_flows (void)
 {
@@ -1028,6 +1114,7 @@
   g_test_add_func ("/segment/doubted-syn", test_doubted_syn_goes_elsewhere);
   g_test_add_func ("/segment/refused-syn", test_refused_syn_goes_elsewhere);
   g_test_add_func ("/segment/unknown-flow", test_unknown_flow_asked_for);
+  g_test_add_func ("/segment/wrong-holder", test_wrong_holder_is_looked_for);
   g_test_add_func ("/segment/nobody-holds",
                    test_flow_that_nobody_holds_is_reset);
   g_test_add_func ("/segment/incomplete-fleet",
@@ -1049,6 +1136,9 @@
                    test_denied_without_upstream);
   g_test_add_func ("/segment/vacant-after-resets", test_vacant_after_resets);
   g_test_add_func ("/segment/other-handshake", test_other_handshake_denied);
+  g_test_add_func ("/segment/answered-not-open",
+                   test_answered_flow_is_not_open);
+  g_test_add_func ("/segment/late-segments", test_late_segments);
   g_test_add_func ("/segment/new-start", test_new_start_loses_flows);
   g_test_add_func ("/segment/requests-counted", test_requests_counted);
   g_test_add_func ("/segment/silent-upstream", test_silent_upstream_absent);
