--- /dev/null
+++ b/src/control/group_calls.c
@@ -0,0 +1,256 @@
+/* group_calls.c -- operators' calls: the leader decides, any host shows the
+   group.  */
+
+#include "base/auto.h"
+#include "control/group_state.h"
+#include "wire/configuration_message.h"
+
+#include <stdlib.h>
+
+/* Types.  */
+
+/* How long a call may wait for a majority.  Operators try another host after
+   a second without an answer.  */
+#define CALL_LIFE_MS 2000
+
+/* Private functions.  */
+
+static void begin_replace (struct hs_group *group, struct hs_group_call *call,
+                           uint64_t now);
+static uint64_t propose (struct hs_group *group,
+                         const struct hs_group_call *call, uint64_t now);
+static bool is_lost (const struct hs_group *group,
+                     const struct hs_group_call *call, uint64_t now);
+static bool is_done (const struct hs_group *group,
+                     const struct hs_group_call *call);
+static void answer_one (struct hs_group *group, struct hs_group_call *call,
+                        uint64_t now);
+static void answer_show (struct hs_group *group, struct hs_group_call *call);
+static void answer_cluster (struct hs_group *group,
+                            struct hs_group_call *call);
+static json_t *host_json (const struct hs_control_host *host, bool votes,
+                          bool leads);
+static void add_node (void *ctx, const struct hs_inner_sync *node);
+
+/* Public definitions.  */
+
+void
+hs_group_on_call (void *ctx, void *item)
+{
+  struct hs_group *group = ctx;
+  struct hs_group_call *call = item;
+  uint64_t now = hs_clock_now ();
+  struct hs_control_host leader;
+
+  if (call->operation == HS_OPERATION_CLUSTER)
+    {
+      answer_cluster (group, call);
+      return;
+    }
+  if (!group->stopping && !hs_replica_leads (group->replica)
+      && hs_replica_leader (group->replica, &leader))
+    {
+      hs_counter_add (group->counts.redirected, 1);
+      hs_group_redirect (call, &leader.api);
+      return;
+    }
+  if (group->stopping || !hs_replica_leads (group->replica))
+    {
+      hs_counter_add (group->counts.unavailable, 1);
+      hs_group_answer (call, STATUS_UNAVAILABLE, HS_NOT_RUN,
+                       "no leader is known");
+      return;
+    }
+  call->term = hs_replica_term (group->replica);
+  hs_list_append (&group->waiting, &call->link);
+  if (call->operation == HS_OPERATION_SHOW)
+    call->round = hs_replica_read (group->replica, now);
+  else
+    begin_replace (group, call, now);
+}
+
+void
+hs_group_answer_waiting (struct hs_group *group, uint64_t now)
+{
+  HS_LIST_FOREACH (link, &group->waiting)
+    {
+      struct hs_group_call *call
+          = HS_LIST_ENTRY (link, struct hs_group_call, link);
+
+      if (!is_lost (group, call, now) && !is_done (group, call))
+        continue;
+      hs_list_remove (link);
+      answer_one (group, call, now);
+    }
+}
+
+/* Private definitions.  */
+
+/* A version that is not higher than the newest changes nothing, and is
+   acknowledged as soon as that one is committed.  */
+static void
+begin_replace (struct hs_group *group, struct hs_group_call *call,
+               uint64_t now)
+{
+  uint64_t version = call->configuration->version;
+
+  call->index = hs_replica_last (group->replica);
+  if (version <= group->proposed)
+    return;
+  call->index = propose (group, call, now);
+  if (call->index != 0)
+    {
+      group->proposed = version;
+      return;
+    }
+  hs_list_remove (&call->link);
+  hs_group_answer (call, STATUS_TOO_LARGE, HS_NOT_RUN,
+                   "configuration is too large");
+}
+
+static uint64_t
+propose (struct hs_group *group, const struct hs_group_call *call,
+         uint64_t now)
+{
+  void *scratch = talloc_new (NULL);
+  struct hs_stored_configuration stored
+      = { .version = call->configuration->version };
+  size_t body_len;
+  const char *body = hs_http_body (call->request, &body_len);
+  size_t len;
+  uint8_t *data;
+  uint64_t index;
+
+  stored.source = hs_bytes_compress (scratch, (const uint8_t *)body, body_len,
+                                     &stored.source_len);
+  stored.routes = hs_configuration_encode (scratch, call->configuration,
+                                           &stored.routes_len);
+  data = hs_stored_configuration_encode (scratch, &stored, &len);
+  index = hs_replica_propose (group->replica, data, len, now);
+  talloc_free (scratch);
+  return index;
+}
+
+static bool
+is_lost (const struct hs_group *group, const struct hs_group_call *call,
+         uint64_t now)
+{
+  return !hs_replica_leads (group->replica)
+         || hs_replica_term (group->replica) != call->term
+         || now - call->asked_at > CALL_LIFE_MS;
+}
+
+static bool
+is_done (const struct hs_group *group, const struct hs_group_call *call)
+{
+  if (call->operation == HS_OPERATION_SHOW)
+    return hs_replica_confirmed (group->replica) >= call->round;
+  return hs_replica_applied (group->replica) >= call->index;
+}
+
+static void
+answer_one (struct hs_group *group, struct hs_group_call *call, uint64_t now)
+{
+  if (is_lost (group, call, now))
+    {
+      hs_counter_add (group->counts.unavailable, 1);
+      hs_log_write (group->log, HS_LOG_WARNING, "call-unanswered",
+                    "{s:b, s:I, s:I}", "leads",
+                    hs_replica_leads (group->replica), "index",
+                    (json_int_t)call->index, "waited_ms",
+                    (json_int_t)(now - call->asked_at));
+      hs_group_answer (call, STATUS_UNAVAILABLE, HS_MAY_HAVE_RUN,
+                       "no majority in time; a change may have been accepted");
+      return;
+    }
+  if (call->operation == HS_OPERATION_SHOW)
+    {
+      answer_show (group, call);
+      return;
+    }
+  hs_counter_add (group->counts.accepted, 1);
+  hs_histogram_add (group->counts.acknowledge, now - call->asked_at);
+  hs_log_write (
+      group->log, HS_LOG_INFO, "configuration-acknowledged",
+      "{s:I, s:I, s:I, s:I}", "version",
+      (json_int_t)call->configuration->version, "in_force",
+      (json_int_t)(group->stored != NULL ? group->stored->version : 0),
+      "index", (json_int_t)call->index, "took_ms",
+      (json_int_t)(now - call->asked_at));
+  hs_group_answer (call, STATUS_OK, HS_RAN, "accepted");
+}
+
+static void
+answer_show (struct hs_group *group, struct hs_group_call *call)
+{
+  HS_AUTO_TALLOC uint8_t *source = NULL;
+  size_t len;
+
+  if (group->stored == NULL)
+    {
+      hs_group_answer (call, STATUS_UNAVAILABLE, HS_NOT_RUN,
+                       "no configuration yet");
+      return;
+    }
+  source = hs_bytes_uncompress (NULL, group->stored->source,
+                                group->stored->source_len, &len, NULL);
+  hs_counter_add (group->counts.reads, 1);
+  hs_group_answer_body (call, (const char *)source);
+}
+
+static void
+answer_cluster (struct hs_group *group, struct hs_group_call *call)
+{
+  HS_AUTO_JSON json_t *json = NULL;
+  json_t *hosts = json_array ();
+  json_t *nodes = json_array ();
+  struct hs_control_host known[HS_INNER_ADDRS_MAX];
+  struct hs_control_host leader = { 0 };
+  size_t len = hs_replica_hosts (group->replica, known, HS_INNER_ADDRS_MAX);
+  char *text;
+
+  hs_replica_leader (group->replica, &leader);
+  for (size_t i = 0; i < len; i++)
+    json_array_append_new (
+        hosts,
+        host_json (&known[i], i < hs_replica_members (group->replica)->len,
+                   known[i].id == leader.id));
+  hs_roster_each (group->roster, HS_ROLE_ENTRY, add_node, nodes);
+  hs_roster_each (group->roster, HS_ROLE_AGENT, add_node, nodes);
+  json = json_pack (
+      "{s:s, s:b, s:I, s:I, s:I, s:I, s:b, s:o, s:o}", "name",
+      group->settings.name, "leads", hs_replica_leads (group->replica), "term",
+      (json_int_t)hs_replica_term (group->replica), "applied",
+      (json_int_t)hs_replica_applied (group->replica), "last",
+      (json_int_t)hs_replica_last (group->replica), "version",
+      (json_int_t)(group->stored != NULL ? group->stored->version : 0),
+      "disk_works", !group->disk_failed, "hosts", hosts, "nodes", nodes);
+  text = json_dumps (json, JSON_INDENT (2));
+  hs_group_answer_body (call, text);
+  free (text);
+}
+
+static json_t *
+host_json (const struct hs_control_host *host, bool votes, bool leads)
+{
+  char inner[HS_ADDR_TEXT_SIZE];
+  char api[HS_ADDR_TEXT_SIZE];
+
+  hs_addr_format (&host->inner, inner);
+  hs_addr_format (&host->api, api);
+  return json_pack ("{s:s, s:s, s:b, s:b}", "inner", inner, "api", api,
+                    "votes", votes, "leads", leads);
+}
+
+static void
+add_node (void *ctx, const struct hs_inner_sync *node)
+{
+  char address[HS_ADDR_TEXT_SIZE];
+
+  hs_addr_format (&node->address, address);
+  json_array_append_new (
+      ctx, json_pack ("{s:s, s:s, s:s, s:s, s:I}", "name", node->name, "role",
+                      node->role == HS_ROLE_ENTRY ? "entry" : "agent", "zone",
+                      node->zone, "address", address, "version_in_force",
+                      (json_int_t)node->version));
+}
