Say on every packet of a flow that it was placed as uncertain

A home that leaves placed a flow elsewhere as uncertain, and kept a record of it. The first packet said so; those after it were passed by the record, which did not know. Where the second arrived first, the new holder opened the flow as certain and ran work that the holder before it had run.

Ruled out: that a witness vouched wrongly; the trace shows the home's answer was 'uncertain'.

Change: the record keeps the word until the holder itself tells of the flow. A test of the home alone plays two packets; it failed before.

--- a/src/flow/holder.c
+++ b/src/flow/holder.c
@@ -441,7 +441,7 @@
       return place_new (holder, &key, hop, true, now);
     }
   if (peer->member.state != HS_MEMBER_SUSPECT)
-    return pass (&peer->member, record->opened_view, false);
+    return pass (&peer->member, record->opened_view, record->uncertain);
   if (peer->asked_at != 0 && now - peer->asked_at >= LOST_MS)
     {
       hs_holder_drop_record (holder, record);
@@ -449,7 +449,7 @@
     }
   hs_peer_note_asked (peer, now);
   hs_holder_send_one (holder, &peer->member, HS_FLOW_ASK, 0, &asked);
-  return pass (&peer->member, record->opened_view, false);
+  return pass (&peer->member, record->opened_view, record->uncertain);
 }
 
 static struct hs_route
@@ -472,6 +472,8 @@
   if (next == NULL || next->slot == holder->slot)
     return refuse (HS_REASON_NO_UPSTREAM);
   hs_holder_put_record (holder, key, next->slot, holder->view->number);
+  /* Whichever of its packets comes first opens the flow there.  */
+  hs_holder_find_record (holder, key)->uncertain = uncertain;
   return pass (next, holder->view->number, uncertain);
 }
 
--- a/src/flow/holder_records.c
+++ b/src/flow/holder_records.c
@@ -39,6 +39,7 @@
     }
   record->holder = slot;
   record->opened_view = opened_view;
+  record->uncertain = false;
 }
 
 void
--- a/src/flow/holder_state.h
+++ b/src/flow/holder_state.h
@@ -24,6 +24,8 @@
   struct hs_flow_key key;
   uint64_t holder; /* Slot.  */
   uint64_t opened_view;
+  bool uncertain; /* Placed here, as such, and the holder has not told yet
+                     that it has opened it.  */
 };
 
 enum answer
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -148,6 +148,47 @@
   world_destroy (world);
 }
 
+/* A home that leaves places a flow elsewhere as uncertain: so say all of its
+   packets, as any of them may be the first to arrive.  */
+static void
+test_uncertain_on_every_packet (void)
+{
+  struct world *world = world_create (BASE_SEED);
+  struct hs_hop hop = { .service = WORLD_SERVICE_A, .incarnation = 2 };
+  struct hs_holder *home;
+  uint64_t passed = 0;
+
+  world_set_callers (world, false);
+  for (size_t i = 0; i < 4; i++)
+    world_start_agent (world, i, WORLD_SERVICE_A);
+  world_run (world, 5000);
+  world_stop_agent (world, 2);
+  world_stop_agent (world, 3);
+  world_run (world, 15000);
+  world_leave_agent (world, 0);
+  world_run (world, 15500);
+  home = world_holder (world, 0);
+  for (uint16_t port = 1; port <= 64; port++)
+    {
+      struct hs_route route;
+
+      hop.caller.port = port;
+      if (hs_holder_route (home, &hop, 15500).kind != HS_ROUTE_WAIT)
+        continue;
+      /* The members that are gone are asked, and then done without.  */
+      hs_holder_tick (home, 16000);
+      for (size_t i = 0; i < 2; i++)
+        {
+          route = hs_holder_route (home, &hop, 16000);
+          g_assert_cmpint (route.kind, ==, HS_ROUTE_PASS);
+          g_assert_true (route.next_uncertain);
+        }
+      passed++;
+    }
+  g_assert_cmpuint (passed, >, 0);
+  world_destroy (world);
+}
+
 /* Hundreds of views pass under open flows.  */
 static void
 test_hundreds_of_views (void)
@@ -261,6 +302,8 @@
                  : EXIT_FAILURE;
     }
   g_test_add_func ("/flow/meant-for-another", test_meant_for_another);
+  g_test_add_func ("/flow/uncertain-on-every-packet",
+                   test_uncertain_on_every_packet);
   g_test_add_func ("/flow/hundreds-of-views", test_hundreds_of_views);
   g_test_add_func ("/flow/planned-changes", test_planned_changes);
   for (int fault = WORLD_LOSE; fault < WORLD_FAULTS; fault++)
