Tell agents of every entry, not of the first 48

With the logs of 240 machines exactly 48 of 82 entries were ever ready: the list of entries in a control host's answer had room for 48, and agents reported to those alone. The others dropped every segment for want of an upstream.

Ruled out: load of the control hosts (7.7% of a core at most), the start of the entries (all had the configuration 1.4 s after the start).

Change: the list comes in as many messages as it takes and says how many entries there are; a follower counts it as known when it has them all, and else is told again. A test with 1,100 entries and a lost message; the earlier code knew 48 of them.

--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -566,7 +566,7 @@
 static void
 send_reports (struct hs_segment_agent *agent, uint64_t now)
 {
-  const struct hs_inner_addrs *entries
+  const struct hs_follower_entries *entries
       = hs_follower_entries (agent->front->follower);
   struct hs_inner inner = { .type = HS_INNER_REPORT };
 
--- a/src/control/group_nodes.c
+++ b/src/control/group_nodes.c
@@ -10,6 +10,8 @@
 
 static void tell_entry (void *ctx, const struct hs_inner_sync *node);
 static void tell_agent (void *ctx, const struct hs_inner_sync *node);
+static void send_entries (struct hs_group *group, const struct hs_addr *to,
+                          struct hs_inner *status);
 static void fill_status (struct hs_group *group,
                          struct hs_inner_status *status);
 static void send_inner (struct hs_group *group, const struct hs_addr *to,
@@ -33,11 +35,9 @@
     }
   fill_status (group, &answer.status);
   if (answer.status.roster != sync->roster)
-    {
-      answer.status.has_entries = true;
-      hs_roster_entries (group->roster, &answer.status.entries);
-    }
-  send_inner (group, from, &answer);
+    send_entries (group, from, &answer);
+  else
+    send_inner (group, from, &answer);
 }
 
 void
@@ -107,9 +107,26 @@
   struct hs_inner news = { .type = HS_INNER_STATUS };
 
   fill_status (group, &news.status);
-  news.status.has_entries = true;
-  hs_roster_entries (group->roster, &news.status.entries);
-  send_inner (group, &node->address, &news);
+  send_entries (group, &node->address, &news);
+}
+
+/* The list of entries, in as many messages as it takes; one if it is empty. */
+static void
+send_entries (struct hs_group *group, const struct hs_addr *to,
+              struct hs_inner *status)
+{
+  size_t total = hs_roster_count (group->roster, HS_ROLE_ENTRY);
+  size_t sent = 0;
+
+  status->status.has_entries = true;
+  status->status.entries_total = (uint32_t)total;
+  do
+    {
+      hs_roster_entries (group->roster, sent, &status->status.entries);
+      send_inner (group, to, status);
+      sent += status->status.entries.len;
+    }
+  while (sent < total);
 }
 
 static void
--- a/src/control/roster.c
+++ b/src/control/roster.c
@@ -118,8 +118,18 @@
   return digest;
 }
 
+size_t
+hs_roster_count (const struct hs_roster *roster, enum hs_role role)
+{
+  size_t count = 0;
+
+  HS_LIST_FOREACH (link, &roster->nodes)
+    count += HS_LIST_ENTRY (link, struct node, link)->sync.role == role;
+  return count;
+}
+
 void
-hs_roster_entries (const struct hs_roster *roster,
+hs_roster_entries (const struct hs_roster *roster, size_t skip,
                    struct hs_inner_addrs *entries)
 {
   entries->len = 0;
@@ -127,8 +137,11 @@
     {
       const struct node *node = HS_LIST_ENTRY (link, struct node, link);
 
-      if (node->sync.role == HS_ROLE_ENTRY
-          && entries->len < HS_INNER_ADDRS_MAX)
+      if (node->sync.role != HS_ROLE_ENTRY)
+        continue;
+      if (skip > 0)
+        skip--;
+      else if (entries->len < HS_INNER_ADDRS_MAX)
         entries->values[entries->len++] = node->sync.address;
     }
 }
--- a/src/control/roster.h
+++ b/src/control/roster.h
@@ -20,7 +20,10 @@
                      hs_roster_fn *fn, void *ctx);
 uint64_t hs_roster_digest (const struct hs_roster *roster); /* Of the
                                                     entries' addresses.  */
-void hs_roster_entries (const struct hs_roster *roster,
-                        struct hs_inner_addrs *entries);
+size_t hs_roster_count (const struct hs_roster *roster, enum hs_role role);
+void hs_roster_entries (const struct hs_roster *roster, size_t skip,
+                        struct hs_inner_addrs *entries); /* After the first
+                                                            SKIP, as many as
+                                                            it takes.  */
 
 #endif /* HS_CONTROL_ROSTER_H */
--- a/src/daemon/follower.c
+++ b/src/daemon/follower.c
@@ -32,6 +32,7 @@
 {
   struct hs_addr address;
   uint64_t listed_at; /* ms  */
+  uint64_t roster;    /* Digest of the list that had it last.  */
 };
 
 /* A configuration on its way.  */
@@ -59,8 +60,8 @@
   uint64_t heard_at;  /* ms of an answer; 0: never.  */
   bool lost;
   size_t listed_len;
-  struct listed_entry listed[HS_INNER_ADDRS_MAX];
-  struct hs_inner_addrs entries; /* The same, as others want it.  */
+  struct listed_entry listed[HS_FOLLOWER_ENTRIES_MAX];
+  struct hs_follower_entries entries; /* The same, as others want it.  */
   struct fetch fetch;
 };
 
@@ -74,9 +75,12 @@
                          const struct hs_addr *from,
                          const struct hs_inner_status *status, uint64_t now);
 static void take_entries (struct hs_follower *follower,
-                          const struct hs_inner_addrs *entries, uint64_t now);
+                          const struct hs_inner_status *status, uint64_t now);
 static bool note_entry (struct hs_follower *follower,
-                        const struct hs_addr *address, uint64_t now);
+                        const struct hs_addr *address, uint64_t roster,
+                        uint64_t now);
+static size_t count_listed (const struct hs_follower *follower,
+                            uint64_t roster);
 static void expire_entries (struct hs_follower *follower, uint64_t now);
 static void begin_fetch (struct hs_follower *follower,
                          const struct hs_addr *from, uint64_t version);
@@ -161,7 +165,7 @@
   follower->self.version = version;
 }
 
-const struct hs_inner_addrs *
+const struct hs_follower_entries *
 hs_follower_entries (const struct hs_follower *follower)
 {
   return &follower->entries;
@@ -215,10 +219,7 @@
   if (status->controls.len > 0)
     follower->controls = status->controls;
   if (status->has_entries)
-    {
-      take_entries (follower, &status->entries, now);
-      follower->self.roster = status->roster;
-    }
+    take_entries (follower, status, now);
   else if (status->roster == follower->self.roster)
     for (size_t i = 0; i < follower->listed_len; i++)
       follower->listed[i].listed_at = now;
@@ -227,14 +228,19 @@
     begin_fetch (follower, from, status->version);
 }
 
+/* The list is known once each message of it has come; until then it is asked
+   for again.  */
 static void
 take_entries (struct hs_follower *follower,
-              const struct hs_inner_addrs *entries, uint64_t now)
+              const struct hs_inner_status *status, uint64_t now)
 {
+  const struct hs_inner_addrs *entries = &status->entries;
   bool added = false;
 
   for (size_t i = 0; i < entries->len; i++)
-    added |= note_entry (follower, &entries->values[i], now);
+    added |= note_entry (follower, &entries->values[i], status->roster, now);
+  if (count_listed (follower, status->roster) >= status->entries_total)
+    follower->self.roster = status->roster;
   expire_entries (follower, now);
   if (added)
     follower->ops.entries (follower->ctx);
@@ -243,22 +249,32 @@
 /* Whether it is new.  */
 static bool
 note_entry (struct hs_follower *follower, const struct hs_addr *address,
-            uint64_t now)
+            uint64_t roster, uint64_t now)
 {
+  struct listed_entry listed = { *address, now, roster };
+
   for (size_t i = 0; i < follower->listed_len; i++)
     if (hs_addr_equal (&follower->listed[i].address, address))
       {
-        follower->listed[i].listed_at = now;
+        follower->listed[i] = listed;
         return false;
       }
-  if (follower->listed_len == HS_INNER_ADDRS_MAX)
+  if (follower->listed_len == HS_FOLLOWER_ENTRIES_MAX)
     return false;
-  follower->listed[follower->listed_len].address = *address;
-  follower->listed[follower->listed_len].listed_at = now;
-  follower->listed_len++;
+  follower->listed[follower->listed_len++] = listed;
   return true;
 }
 
+static size_t
+count_listed (const struct hs_follower *follower, uint64_t roster)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < follower->listed_len; i++)
+    count += follower->listed[i].roster == roster;
+  return count;
+}
+
 /* A control host that has just started lists few: an entry stays for a while
    after the last host has listed it.  */
 static void
--- a/src/daemon/follower.h
+++ b/src/daemon/follower.h
@@ -10,8 +10,16 @@
 #include "base/settings.h"
 #include "wire/inner.h"
 
+#define HS_FOLLOWER_ENTRIES_MAX 2048
+
 struct hs_follower;
 
+struct hs_follower_entries
+{
+  size_t len;
+  struct hs_addr values[HS_FOLLOWER_ENTRIES_MAX];
+};
+
 struct hs_follower_ops
 {
   void (*send) (void *ctx, const struct hs_addr *to,
@@ -37,7 +45,7 @@
                        uint64_t now); /* Every 100 ms.  */
 void hs_follower_set_version (struct hs_follower *follower,
                               uint64_t version); /* In force here.  */
-const struct hs_inner_addrs *
+const struct hs_follower_entries *
 hs_follower_entries (const struct hs_follower *follower);
 
 #endif /* HS_DAEMON_FOLLOWER_H */
--- a/src/wire/inner.c
+++ b/src/wire/inner.c
@@ -15,7 +15,7 @@
 /* Elements of each type, with the type itself.  */
 static const uint8_t fields_of[HS_INNER_TYPES] = {
   [HS_INNER_FORWARD] = 5, [HS_INNER_REFUSED] = 5, [HS_INNER_HELD] = 7,
-  [HS_INNER_REPORT] = 15, [HS_INNER_SYNC] = 10,   [HS_INNER_STATUS] = 6,
+  [HS_INNER_REPORT] = 15, [HS_INNER_SYNC] = 10,   [HS_INNER_STATUS] = 7,
   [HS_INNER_FETCH] = 3,   [HS_INNER_PART] = 5,
 };
 
@@ -110,6 +110,7 @@
       msgpack_pack_uint64 (out, inner->status.version);
       msgpack_pack_uint64 (out, inner->status.roster);
       msgpack_pack_uint8 (out, inner->status.has_entries);
+      msgpack_pack_uint32 (out, inner->status.entries_total);
       pack_addrs (out, &inner->status.controls);
       pack_addrs (out, &inner->status.entries);
       break;
@@ -205,6 +206,7 @@
       inner->status.version = hs_unpack_uint (in, UINT64_MAX);
       inner->status.roster = hs_unpack_uint (in, UINT64_MAX);
       inner->status.has_entries = hs_unpack_uint (in, 1) != 0;
+      inner->status.entries_total = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
       read_addrs (in, &inner->status.controls);
       read_addrs (in, &inner->status.entries);
       break;
--- a/src/wire/inner.h
+++ b/src/wire/inner.h
@@ -65,9 +65,11 @@
 
 struct hs_inner_status
 {
-  uint64_t version; /* Of the newest configuration; 0: none known.  */
-  uint64_t roster;  /* Digest of the list of entries.  */
-  bool has_entries; /* False: the receiver's list is up to date.  */
+  uint64_t version;       /* Of the newest configuration; 0: none known.  */
+  uint64_t roster;        /* Digest of the list of entries.  */
+  bool has_entries;       /* False: the receiver's list is up to date.  */
+  uint32_t entries_total; /* Of the whole list, of which this message may
+                             have a part.  */
   struct hs_inner_addrs controls;
   struct hs_inner_addrs entries;
 };
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -2,6 +2,7 @@
 
 #include "base/addr.h"
 #include "base/auto.h"
+#include "control/roster.h"
 #include "daemon/follower.h"
 
 #include <string.h>
@@ -103,6 +104,7 @@
   inner.status.version = version;
   inner.status.roster = 77;
   inner.status.has_entries = entries > 0;
+  inner.status.entries_total = (uint32_t)entries;
   inner.status.entries.len = entries;
   for (uint32_t i = 0; i < entries; i++)
     inner.status.entries.values[i] = host (100 + i);
@@ -263,6 +265,61 @@
   talloc_free (node);
 }
 
+/* Tells NODE the entries of ROSTER in as many messages as it takes, without
+   the one of number LOST.  */
+static void
+tell_roster (struct node *node, const struct hs_roster *roster, size_t lost,
+             uint64_t now)
+{
+  size_t total = hs_roster_count (roster, HS_ROLE_ENTRY);
+  struct hs_inner inner = { .type = HS_INNER_STATUS };
+  struct hs_addr from = host (1);
+  size_t sent = 0;
+
+  inner.status.roster = hs_roster_digest (roster);
+  inner.status.has_entries = true;
+  inner.status.entries_total = (uint32_t)total;
+  for (size_t i = 0; sent < total; i++)
+    {
+      hs_roster_entries (roster, sent, &inner.status.entries);
+      g_assert_cmpuint (inner.status.entries.len, >, 0);
+      sent += inner.status.entries.len;
+      if (i != lost)
+        hs_follower_receive (node->follower, &from, &inner, now);
+    }
+}
+
+/* More entries than one message takes are all heard of, also if a message is
+   lost: the list does not count as known, and is asked for again.  */
+static void
+test_entries_beyond_a_message (void)
+{
+  struct node *node = node_create (HS_ROLE_AGENT);
+  struct hs_roster *roster = hs_roster_create (node);
+  uint64_t digest;
+
+  for (uint32_t i = 0; i < 1100; i++)
+    {
+      struct hs_inner_sync sync = { .role = HS_ROLE_ENTRY,
+                                    .slot = 1 + i,
+                                    .address = host (100 + i) };
+
+      hs_roster_note (roster, &sync, 0);
+    }
+  digest = hs_roster_digest (roster);
+  tell_roster (node, roster, 2, 10);
+  g_assert_cmpuint (hs_follower_entries (node->follower)->len, ==,
+                    1100 - HS_INNER_ADDRS_MAX);
+  hs_follower_tick (node->follower, 500);
+  g_assert_cmpuint (node->sent[0].inner.sync.roster, !=, digest);
+  tell_roster (node, roster, SIZE_MAX, 510);
+  g_assert_cmpuint (hs_follower_entries (node->follower)->len, ==, 1100);
+  node->sent_len = 0;
+  hs_follower_tick (node->follower, 1100);
+  g_assert_cmpuint (node->sent[0].inner.sync.roster, ==, digest);
+  talloc_free (node);
+}
+
 /* While the whole group is silent, what is known stays.  */
 static void
 test_silent_group (void)
@@ -294,6 +351,8 @@
   g_test_add_func ("/follower/from-another", test_fetch_from_another);
   g_test_add_func ("/follower/newer", test_newer_while_fetching);
   g_test_add_func ("/follower/entries", test_entries_outlive_short_lists);
+  g_test_add_func ("/follower/entries-beyond-a-message",
+                   test_entries_beyond_a_message);
   g_test_add_func ("/follower/silent-group", test_silent_group);
   return g_test_run ();
 }
--- a/tests/test_inner.c
+++ b/tests/test_inner.c
@@ -73,6 +73,7 @@
       inner.status.version = 5;
       inner.status.roster = 6;
       inner.status.has_entries = true;
+      inner.status.entries_total = 90;
       inner.status.controls.len = 2;
       inner.status.controls.values[0] = addr (1);
       inner.status.controls.values[1] = addr (2);
