Ask up to 256 agents for a flow, not 64

Cause: found while reading for lists cut short after the one of entries: with more than 64 agents of a service an unknown flow was asked for at the first 64 only, and a flow that nobody holds was never reset.

Change: the bound is 256; a test with 203 agents, which had 64 asked before. Beyond 256 agents of one service the same happens again: the target has 4.6 a service.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -876,7 +876,7 @@
 
 /* Steering: what an entry does with a segment of a caller.  */
 
-#define HS_STEER_MAX 64             /* Agents a segment is sent to.  */
+#define HS_STEER_MAX 256            /* Agents a segment is sent to.  */
 #define HS_STEER_TRIES 4            /* Agents a SYN is offered to.  */
 #define HS_STEERING_FLOWS_MAX 65536 /* Flows an entry knows.  */
 
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -637,6 +637,36 @@
   talloc_free (entry.root);
 }
 
+/* A service of many agents: each is asked, and once all have denied the flow
+   it is reset.  */
+static void
+test_many_agents_asked (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment data = segment_of (HS_SEGMENT_ACK, 9, 101, 501, 50);
+  struct hs_steer steer;
+  char name[HS_NAME_SIZE];
+
+  for (int i = 0; i < 200; i++)
+    {
+      snprintf (name, sizeof name, "m%d", i);
+      report (&entry, name, "a", HS_BACKEND_READY, 0, 0);
+    }
+  steer = hs_steering_route (entry.steering, &data, 0);
+  g_assert_cmpuint (steer.len, ==, 203);
+  deny (&entry, &data, "x");
+  deny (&entry, &data, "y");
+  deny (&entry, &data, "z");
+  for (int i = 0; i < 200; i++)
+    {
+      g_assert_cmpuint (entry.reset->len, ==, 0);
+      snprintf (name, sizeof name, "m%d", i);
+      deny (&entry, &data, name);
+    }
+  g_assert_cmpuint (entry.reset->len, ==, 1);
+  talloc_free (entry.root);
+}
+
 /* An agent whose upstream is gone for good is not waited for.  */
 static void
 test_vacant_agent_not_asked (void)
@@ -1119,6 +1149,7 @@
                    test_flow_that_nobody_holds_is_reset);
   g_test_add_func ("/segment/incomplete-fleet",
                    test_incomplete_fleet_resets_later);
+  g_test_add_func ("/segment/many-agents-asked", test_many_agents_asked);
   g_test_add_func ("/segment/vacant-not-asked", test_vacant_agent_not_asked);
   g_test_add_func ("/segment/silent-not-asked",
                    test_silent_agent_without_upstream_not_asked);
