Let two runs of bench_forward stand beside each other

Cause: the bench bound fixed ports of 127.0.0.1, so that a second run failed.

Change: it takes a loopback host worked out from the process's number, outside those that agents and the e2e tests take.

--- a/bench/bench_forward.c
+++ b/bench/bench_forward.c
@@ -37,12 +37,16 @@
 #define SINK_SLEEP_US 50
 #define FORWARDING_CORE 0
 
-static const char *const inner_text = "127.0.0.1:27100";
-static const char *const control_text = "127.0.0.1:27001";
-static const char *const admin_text = "127.0.0.1:27101";
-static const char *const service_text = "127.0.0.1:27683";
-static const char *const relay_text = "127.0.0.1:27684";
-static const char *const sink_text = "127.0.0.1:27200";
+/* Of the host that HOST_OF makes of the process, so that two can run.  */
+#define PORT_INNER 27100
+#define PORT_CONTROL 27001
+#define PORT_ADMIN 27101
+#define PORT_SERVICE 27683
+#define PORT_RELAY 27684
+#define PORT_SINK 27200
+#define HOST_OF(pid)                                                          \
+  (0x7f000001 + ((2 + (uint32_t)(pid) % 16) << 16)                            \
+   + ((uint32_t)(pid) / 16 % 256 << 8))
 
 struct load
 {
@@ -63,7 +67,7 @@
 
 /* Private functions.  */
 
-static struct hs_addr addr (const char *text);
+static struct hs_addr addr (uint16_t port);
 static void *run_control (void *ctx);
 static void *generate (void *ctx);
 static void *sink (void *ctx);
@@ -71,10 +75,10 @@
 static uint64_t forwarding_ns (void);
 static double measure_entry (int sink_fd);
 static double measure_relay (int sink_fd);
-static uint64_t run_load (const char *target, int sink_fd);
+static uint64_t run_load (uint16_t port, int sink_fd);
 static void prepare (struct mmsghdr *headers, struct iovec *iovecs,
                      uint8_t (*data)[PAYLOAD]);
-static int bind_or_die (const char *text);
+static int bind_or_die (uint16_t port);
 static void stay_on (size_t core, bool alone);
 static double median (double *values);
 static int compare (const void *a, const void *b);
@@ -86,16 +90,16 @@
 {
   struct hs_entry_settings settings = { .name = "entry-bench",
                                         .zone = "zone-a",
-                                        .inner = addr (inner_text),
-                                        .control = addr (control_text),
-                                        .admin = addr (admin_text),
+                                        .inner = addr (PORT_INNER),
+                                        .control = addr (PORT_CONTROL),
+                                        .admin = addr (PORT_ADMIN),
                                         .bind = "",
                                         .drain_max_ms = 0 };
   struct hs_log *log = hs_log_create ("bench", STDERR_FILENO, HS_LOG_WARNING);
   g_autoptr (GError) error = NULL;
   struct hs_entry *entry;
   pthread_t control;
-  int sink_fd = bind_or_die (sink_text);
+  int sink_fd = bind_or_die (PORT_SINK);
   double entry_rates[ROUNDS];
   double relay_rates[ROUNDS];
 
@@ -123,12 +127,9 @@
 /* Private definitions.  */
 
 static struct hs_addr
-addr (const char *text)
+addr (uint16_t port)
 {
-  struct hs_addr parsed;
-
-  g_assert_true (hs_addr_parse (text, &parsed));
-  return parsed;
+  return hs_addr_from_ipv4 (HOST_OF (getpid ()), port);
 }
 
 /* Answers every announcement with the service and its agents, which all have
@@ -138,11 +139,11 @@
 {
   struct hs_ring *ring = hs_ring_create (NULL, 16);
   struct hs_counters *counters = hs_counters_create (NULL, "bench");
-  struct hs_addr address = addr (control_text);
+  struct hs_addr address = addr (PORT_CONTROL);
   g_autoptr (GError) error = NULL;
   struct hs_link *link = hs_link_bind (&address, ring, counters, &error);
   struct hs_document document
-      = { .service = "bench", .address = addr (service_text) };
+      = { .service = "bench", .address = addr (PORT_SERVICE) };
   struct hs_service service = { SERVICE, 1, &document };
   struct hs_member members[AGENTS] = { 0 };
   struct hs_view view = { SERVICE, 1, AGENTS, members };
@@ -151,7 +152,7 @@
   for (size_t i = 0; i < AGENTS; i++)
     {
       g_snprintf (members[i].name, HS_NAME_SIZE, "agent-%zu", i);
-      members[i].address = addr (sink_text);
+      members[i].address = addr (PORT_SINK);
     }
   hs_link_start (link);
   for (;;)
@@ -235,7 +236,7 @@
 measure_entry (int sink_fd)
 {
   uint64_t before = forwarding_ns ();
-  uint64_t count = run_load (service_text, sink_fd);
+  uint64_t count = run_load (PORT_SERVICE, sink_fd);
 
   return (double)count * NS_PER_S / (double)(forwarding_ns () - before);
 }
@@ -251,7 +252,7 @@
 measure_relay (int sink_fd)
 {
   struct relay relay
-      = { .in = bind_or_die (relay_text), .to = addr (sink_text) };
+      = { .in = bind_or_die (PORT_RELAY), .to = addr (PORT_SINK) };
   struct timeval patience = { .tv_usec = 50000 };
   pthread_t thread;
   uint64_t count;
@@ -261,7 +262,7 @@
   stay_on (FORWARDING_CORE, true);
   pthread_create (&thread, NULL, run_relay, &relay);
   stay_on (FORWARDING_CORE, false);
-  count = run_load (relay_text, sink_fd);
+  count = run_load (PORT_RELAY, sink_fd);
   relay.stop = true;
   pthread_join (thread, NULL);
   close (relay.in);
@@ -311,9 +312,9 @@
 
 /* Packets that reached the sink.  */
 static uint64_t
-run_load (const char *target, int sink_fd)
+run_load (uint16_t port, int sink_fd)
 {
-  struct load load = { .target = addr (target), .sink = sink_fd };
+  struct load load = { .target = addr (port), .sink = sink_fd };
   pthread_t threads[2];
 
   pthread_create (&threads[0], NULL, sink, &load);
@@ -326,9 +327,9 @@
 }
 
 static int
-bind_or_die (const char *text)
+bind_or_die (uint16_t port)
 {
-  struct hs_addr address = addr (text);
+  struct hs_addr address = addr (port);
   g_autoptr (GError) error = NULL;
   int fd = hs_socket_bind (&address, &error);
 
--- a/src/segment/steering.c
+++ b/src/segment/steering.c
@@ -241,7 +241,6 @@
   flow = get_flow (steering, &key, now);
   flow->service = hs_routing_pick (
       rule, hs_rank_score (flow->base.node.hash, segment->seq));
-
   flow->slo_ms = rule->slo_ms;
   flow->priority = rule->priority;
   flow->syn_seq = segment->seq;
