Ask for the holder of a flow by a question, not by copies of its segments

Each segment of a flow that an entry had not seen went to all 42 agents of the route, payload and all, until one of them claimed the flow: an entry's link of 6.9 Mbit/s took 4,010 such segments in one availability zone within 7 s, and the claims queued up behind them.

Change: an entry asks by a message of some 40 bytes, the agents of its own availability zone first and the others once those have denied the flow or after 50 ms, and keeps the segments of the flow meanwhile (256 at most, 1 s). Agents that have restarted beside their upstream answer that only a segment tells, and get it. A result of steering no longer holds a list of 256 agents.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -876,13 +876,14 @@
 
 /* Steering: what an entry does with a segment of a caller.  */
 
-#define HS_STEER_MAX 256            /* Agents a segment is sent to.  */
+#define HS_STEER_ASKED_MAX 256      /* Agents asked for a flow.  */
 #define HS_STEER_TRIES 4            /* Agents a SYN is offered to.  */
 #define HS_STEERING_FLOWS_MAX 65536 /* Flows an entry knows.  */
 
 enum hs_steer_kind
 {
   HS_STEER_FORWARD, /* To the agents of TO.  */
+  HS_STEER_HOLD,    /* Keep it until its flow is released.  */
   HS_STEER_RESET,   /* Tell the caller that the flow is not open.  */
   HS_STEER_DROP
 };
@@ -896,8 +897,9 @@
                   says so.  */
   const struct hs_backend *least_busy; /* RESET as overloaded: by whose
                                           load.  */
+  size_t asked; /* HOLD: agents that were asked just now.  */
   size_t len;
-  const struct hs_backend *to[HS_STEER_MAX];
+  const struct hs_backend *to[HS_STEER_TRIES];
 };
 
 struct hs_steering;
@@ -905,8 +907,18 @@
 struct hs_steering_ops
 {
   /* Nobody holds the flow; SEGMENT is one of its caller, to be answered by a
-     reset.  */
+     reset.  What is kept of the flow goes.  */
   void (*reset) (void *ctx, const struct hs_segment *segment);
+
+  /* To be asked whether it holds the flow of SEGMENT, the latest of its
+     caller.  */
+  void (*ask) (void *ctx, const struct hs_backend *backend,
+               const struct hs_segment *segment);
+
+  /* What is kept of the flow goes to BACKEND, which holds it or, IF_HELD,
+     finds out by it.  */
+  void (*release) (void *ctx, const struct hs_segment_key *key,
+                   const struct hs_backend *backend, bool if_held);
 };
 
 struct hs_steering *hs_steering_create (void *parent, struct hs_fleet *fleet,
@@ -933,7 +945,11 @@
 void hs_steering_denied (struct hs_steering *steering,
                          const struct hs_segment_key *key, uint64_t slot,
                          uint64_t now); /* That agent does not hold it.  */
-void hs_steering_expire (struct hs_steering *steering, uint64_t now);
+void hs_steering_unsure (struct hs_steering *steering,
+                         const struct hs_segment_key *key,
+                         uint64_t slot); /* Only a segment of it tells.  */
+void hs_steering_tick (struct hs_steering *steering,
+                       uint64_t now); /* Asks again, and forgets.  */
 size_t hs_steering_flows (const struct hs_steering *steering);
 
 /* Sidecar: what an agent does with the segments of its upstream's flows.  */
@@ -975,7 +991,8 @@
 {
   HS_CLAIM_NONE,
   HS_CLAIM_HELD,
-  HS_CLAIM_DENIED /* The upstream does not hold it.  */
+  HS_CLAIM_DENIED, /* The upstream does not hold it.  */
+  HS_CLAIM_UNSURE  /* The upstream may hold it: a segment tells.  */
 };
 
 struct hs_sidecar_step
@@ -1016,6 +1033,10 @@
                                               const struct hs_addr *entry,
                                               uint64_t service, bool ask,
                                               uint64_t now);
+enum hs_claim hs_sidecar_asked (const struct hs_sidecar *sidecar,
+                                const struct hs_segment *segment,
+                                uint64_t now); /* Whether its flow is held
+                                                  here.  */
 struct hs_sidecar_step
 hs_sidecar_from_upstream (struct hs_sidecar *sidecar,
                           const struct hs_segment *segment, uint64_t now);
--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -104,6 +104,9 @@
 static void tell_claim (struct hs_segment_agent *agent,
                         struct hs_segment_key key,
                         const struct hs_sidecar_step *step);
+static void on_asked (struct hs_segment_agent *agent,
+                      const struct hs_segment *asked,
+                      const struct hs_addr *entry, uint64_t now);
 static void on_flow_lost (void *ctx, const struct hs_segment *segment);
 static void log_step (struct hs_segment_agent *agent,
                       const struct hs_segment *segment,
@@ -376,6 +379,8 @@
   struct hs_segment segment;
   struct hs_sidecar_step step;
 
+  if (inner->type == HS_INNER_ASK)
+    on_asked (agent, &inner->asked, &packet->peer, now);
   if (inner->type != HS_INNER_FORWARD)
     return;
   if (!dialect->decode_segment (dialect->ctx, hs_packet_bytes (packet),
@@ -514,13 +519,28 @@
   struct hs_inner inner = { .type = HS_INNER_HELD };
 
   inner.held.slot = agent->front->slot;
-  inner.held.held = step->claim == HS_CLAIM_HELD;
+  inner.held.claim = step->claim;
   inner.held.key = key;
   hs_front_send (agent->front, &step->entry, &inner);
-  if (inner.held.held)
+  if (step->claim == HS_CLAIM_HELD)
     hs_counter_add (agent->counts.held, 1);
 }
 
+/* Only that a flow is here is worth a line: most agents deny most flows.  */
+static void
+on_asked (struct hs_segment_agent *agent, const struct hs_segment *asked,
+          const struct hs_addr *entry, uint64_t now)
+{
+  struct hs_sidecar_step step
+      = { .action = HS_SIDECAR_DELIVER,
+          .claim = hs_sidecar_asked (agent->sidecar, asked, now),
+          .entry = *entry };
+
+  if (step.claim == HS_CLAIM_HELD)
+    log_step (agent, asked, &step);
+  tell_claim (agent, hs_segment_key (asked, true), &step);
+}
+
 static void
 on_flow_lost (void *ctx, const struct hs_segment *segment)
 {
--- /dev/null
+++ b/src/entry/held_packets.c
@@ -0,0 +1,122 @@
+/* held_packets.c -- segments that wait until it is known who holds their
+   flow.  */
+
+#include "entry/held_packets.h"
+
+#include <talloc.h>
+
+/* Types.  */
+
+struct held
+{
+  struct hs_list link; /* Oldest first.  */
+  struct hs_segment_key key;
+  uint64_t held_at; /* ms  */
+  size_t len;
+  uint8_t *data;
+};
+
+struct hs_held_packets
+{
+  size_t len;
+  struct hs_list list;
+};
+
+/* Private functions.  */
+
+static bool is_of (const struct held *packet,
+                   const struct hs_segment_key *key);
+static void drop (struct hs_held_packets *held, struct held *packet);
+
+/* Public definitions.  */
+
+struct hs_held_packets *
+hs_held_packets_create (void *parent)
+{
+  struct hs_held_packets *held = talloc_zero (parent, struct hs_held_packets);
+
+  hs_list_init (&held->list);
+  return held;
+}
+
+void
+hs_held_packets_destroy (struct hs_held_packets *held)
+{
+  talloc_free (held);
+}
+
+bool
+hs_held_packets_add (struct hs_held_packets *held,
+                     const struct hs_segment_key *key, const uint8_t *data,
+                     size_t len, uint64_t now)
+{
+  struct held *packet;
+
+  if (held->len >= HS_HELD_MAX)
+    return false;
+  packet = talloc_zero (held, struct held);
+  packet->key = *key;
+  packet->held_at = now;
+  packet->len = len;
+  packet->data = talloc_memdup (packet, data, len);
+  hs_list_append (&held->list, &packet->link);
+  held->len++;
+  return true;
+}
+
+void
+hs_held_packets_each (const struct hs_held_packets *held,
+                      const struct hs_segment_key *key, hs_held_fn *fn,
+                      void *ctx)
+{
+  HS_LIST_FOREACH (link, &held->list)
+    {
+      const struct held *packet = HS_LIST_ENTRY (link, struct held, link);
+
+      if (is_of (packet, key))
+        fn (ctx, packet->data, packet->len);
+    }
+}
+
+void
+hs_held_packets_drop (struct hs_held_packets *held,
+                      const struct hs_segment_key *key)
+{
+  HS_LIST_FOREACH (link, &held->list)
+    {
+      struct held *packet = HS_LIST_ENTRY (link, struct held, link);
+
+      if (is_of (packet, key))
+        drop (held, packet);
+    }
+}
+
+void
+hs_held_packets_expire (struct hs_held_packets *held, uint64_t now)
+{
+  HS_LIST_FOREACH (link, &held->list)
+    {
+      struct held *packet = HS_LIST_ENTRY (link, struct held, link);
+
+      if (now - packet->held_at < HS_HELD_LIFE_MS)
+        break;
+      drop (held, packet);
+    }
+}
+
+/* Private definitions.  */
+
+static bool
+is_of (const struct held *packet, const struct hs_segment_key *key)
+{
+  return hs_addr_equal (&packet->key.caller, &key->caller)
+         && hs_addr_equal (&packet->key.address, &key->address);
+}
+
+static void
+drop (struct hs_held_packets *held, struct held *packet)
+{
+  hs_list_remove (&packet->link);
+  held->len--;
+  talloc_free (packet);
+}
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -7,6 +7,7 @@
 #include "entry/segment_entry.h"
 #include "base/auto.h"
 #include "daemon/front.h"
+#include "entry/held_packets.h"
 #include "wire/configuration_message.h"
 
 #include <string.h>
@@ -59,6 +60,7 @@
   /* Of the decide thread alone.  */
   struct hs_fleet *fleet;
   struct hs_steering *steering;
+  struct hs_held_packets *held;
   struct hs_routing *routing; /* In force; NULL: none yet.  */
   uint64_t started_at;        /* ms  */
   uint64_t last_segment_at;   /* ms  */
@@ -66,6 +68,14 @@
   uint64_t expired_at;        /* ms  */
 };
 
+/* Where segments that were held go.  */
+struct release
+{
+  struct hs_segment_entry *entry;
+  const struct hs_backend *backend;
+  bool if_held;
+};
+
 /* Private functions.  */
 
 static void create_counters (struct hs_segment_entry *entry);
@@ -78,6 +88,11 @@
 static void on_claim (struct hs_segment_entry *entry,
                       const struct hs_inner_held *claim, uint64_t now);
 static void on_reset (void *ctx, const struct hs_segment *segment);
+static void on_ask (void *ctx, const struct hs_backend *backend,
+                    const struct hs_segment *segment);
+static void on_release (void *ctx, const struct hs_segment_key *key,
+                        const struct hs_backend *backend, bool if_held);
+static void release_one (void *ctx, const uint8_t *data, size_t len);
 static void on_report (struct hs_segment_entry *entry,
                        const struct hs_load_report *report, uint64_t now);
 static void on_configuration (void *ctx, const uint8_t *bytes, size_t len);
@@ -90,6 +105,9 @@
                        const struct hs_steer *steer, uint64_t now);
 static void forward (struct hs_segment_entry *entry, struct hs_packet *packet,
                      const struct hs_steer *steer, uint64_t now);
+static void hold (struct hs_segment_entry *entry,
+                  const struct hs_packet *packet,
+                  const struct hs_segment *segment, uint64_t now);
 static void reset (struct hs_segment_entry *entry, struct hs_packet *packet,
                    const struct hs_segment *segment);
 static void log_steer (struct hs_segment_entry *entry,
@@ -119,7 +137,7 @@
                                      .dialect = settings->dialect };
   struct hs_front_ops ops = { on_packet,  on_inner, on_configuration,
                               on_entries, on_tick,  on_drain };
-  struct hs_steering_ops steering = { on_reset };
+  struct hs_steering_ops steering = { on_reset, on_ask, on_release };
 
   entry->settings = *settings;
   entry->log = log;
@@ -139,6 +157,7 @@
   entry->fleet = hs_fleet_create (entry->front->path->decide, settings->zone);
   entry->steering = hs_steering_create (entry->front->path->decide,
                                         entry->fleet, &steering, entry);
+  entry->held = hs_held_packets_create (entry->front->path->decide);
   hs_receiver_watch (entry->front->path->receiver, entry->segments_fd,
                      TAG_SEGMENTS);
   return entry;
@@ -189,9 +208,8 @@
       = hs_counter_create (all, "flows_placed_elsewhere_total",
                            "SYNs offered outside the availability zone.");
   counts->asked
-      = hs_counter_create (all, "segments_asked_total",
-                           "Segments of unknown flows sent to all agents "
-                           "that may hold them.");
+      = hs_counter_create (all, "flows_asked_total",
+                           "Questions to agents whether they hold a flow.");
   counts->held = hs_counter_create (all, "flows_held_total",
                                     "Flows that an agent said it holds.");
   counts->refused = hs_counter_create (all, "syns_refused_total",
@@ -247,13 +265,21 @@
 on_claim (struct hs_segment_entry *entry, const struct hs_inner_held *claim,
           uint64_t now)
 {
-  if (!claim->held)
+  switch (claim->claim)
     {
+    case HS_CLAIM_HELD:
+      hs_counter_add (entry->counts.held, 1);
+      hs_steering_held (entry->steering, &claim->key, claim->slot, now);
+      break;
+    case HS_CLAIM_DENIED:
       hs_steering_denied (entry->steering, &claim->key, claim->slot, now);
-      return;
+      break;
+    case HS_CLAIM_UNSURE:
+      hs_steering_unsure (entry->steering, &claim->key, claim->slot);
+      break;
+    case HS_CLAIM_NONE:
+      break;
     }
-  hs_counter_add (entry->counts.held, 1);
-  hs_steering_held (entry->steering, &claim->key, claim->slot, now);
 }
 
 static void
@@ -263,12 +289,55 @@
   struct hs_steer steer
       = { .kind = HS_STEER_RESET, .reason = HS_REASON_WRONG_HOST };
   struct hs_packet *packet = hs_outbox_add (entry->front->outbox);
+  struct hs_segment_key key = hs_segment_key (segment, true);
 
   log_steer (entry, segment, &steer, hs_clock_now ());
+  hs_held_packets_drop (entry->held, &key);
   if (packet != NULL)
     reset (entry, packet, segment);
 }
 
+static void
+on_ask (void *ctx, const struct hs_backend *backend,
+        const struct hs_segment *segment)
+{
+  struct hs_segment_entry *entry = ctx;
+  struct hs_inner inner = { .type = HS_INNER_ASK, .asked = *segment };
+
+  hs_counter_add (entry->counts.asked, 1);
+  hs_front_send (entry->front, &backend->report.address, &inner);
+}
+
+static void
+on_release (void *ctx, const struct hs_segment_key *key,
+            const struct hs_backend *backend, bool if_held)
+{
+  struct hs_segment_entry *entry = ctx;
+  struct release release = { entry, backend, if_held };
+
+  hs_held_packets_each (entry->held, key, release_one, &release);
+  if (!if_held)
+    hs_held_packets_drop (entry->held, key);
+}
+
+static void
+release_one (void *ctx, const uint8_t *data, size_t len)
+{
+  const struct release *release = ctx;
+  struct hs_segment_entry *entry = release->entry;
+  struct hs_packet *packet = hs_outbox_add (entry->front->outbox);
+  struct hs_steer steer = { .kind = HS_STEER_FORWARD,
+                            .ask = release->if_held,
+                            .len = 1,
+                            .to = { release->backend } };
+
+  if (packet == NULL)
+    return;
+  memcpy (hs_packet_bytes (packet), data, len);
+  packet->len = (uint16_t)len;
+  forward (entry, packet, &steer, 0);
+}
+
 static void
 on_refused (struct hs_segment_entry *entry, struct hs_packet *packet,
             const struct hs_inner_header *header, uint64_t now)
@@ -351,7 +420,8 @@
 {
   struct hs_segment_entry *entry = ctx;
 
-  hs_steering_expire (entry->steering, now);
+  hs_steering_tick (entry->steering, now);
+  hs_held_packets_expire (entry->held, now);
   hs_fleet_expire (entry->fleet, now);
   hs_counter_set (entry->counts.flows, hs_steering_flows (entry->steering));
   hs_steering_set_complete (entry->steering,
@@ -388,6 +458,9 @@
     case HS_STEER_FORWARD:
       forward (entry, packet, steer, now);
       break;
+    case HS_STEER_HOLD:
+      hold (entry, packet, segment, now);
+      break;
     case HS_STEER_RESET:
       reset (entry, packet, segment);
       break;
@@ -413,8 +486,6 @@
     }
   if (steer->placed && !steer->to[0]->in_zone)
     hs_counter_add (entry->counts.placed_elsewhere, 1);
-  if (steer->ask)
-    hs_counter_add (entry->counts.asked, 1);
   hs_counter_add (entry->counts.forwarded, 1);
   inner.header.ask = steer->ask;
   for (size_t i = 0; i < steer->len; i++)
@@ -431,6 +502,17 @@
     }
 }
 
+static void
+hold (struct hs_segment_entry *entry, const struct hs_packet *packet,
+      const struct hs_segment *segment, uint64_t now)
+{
+  struct hs_segment_key key = hs_segment_key (segment, true);
+
+  if (!hs_held_packets_add (entry->held, &key, packet->data + packet->start,
+                            packet->len, now))
+    hs_counter_add (entry->counts.dropped, 1);
+}
+
 static void
 reset (struct hs_segment_entry *entry, struct hs_packet *packet,
        const struct hs_segment *segment)
@@ -444,8 +526,8 @@
                    entry->settings.segments.port);
 }
 
-/* A line for each flow that is placed or refused, and for each segment that
-   is asked for or dropped; forwarding to a known holder is only counted.  */
+/* A line for each flow that is placed, refused or asked for, and for each
+   segment that is dropped; forwarding to a known holder is only counted.  */
 static void
 log_steer (struct hs_segment_entry *entry, const struct hs_segment *segment,
            const struct hs_steer *steer, uint64_t now)
@@ -455,6 +537,8 @@
 
   if (steer->kind == HS_STEER_FORWARD && !steer->placed && !steer->ask)
     return;
+  if (steer->kind == HS_STEER_HOLD && steer->asked == 0)
+    return;
   hs_addr_format (&segment->from, caller);
   hs_addr_format (&segment->to, address);
   if (steer->kind == HS_STEER_FORWARD && steer->placed)
@@ -463,12 +547,13 @@
     log_load (entry, "flow-refused", caller, address, steer->least_busy, now);
   else
     hs_log_write (entry->log, HS_LOG_INFO,
-                  steer->kind == HS_STEER_FORWARD ? "holder-asked"
-                  : steer->kind == HS_STEER_RESET ? "flow-reset"
-                                                  : "segment-dropped",
+                  steer->kind == HS_STEER_RESET  ? "flow-reset"
+                  : steer->kind == HS_STEER_DROP ? "segment-dropped"
+                                                 : "holder-asked",
                   "{s:s, s:s, s:I, s:s, s:i}", "caller", caller, "address",
                   address, "version", version_of (entry), "reason",
-                  hs_reason_name (steer->reason), "agents", (int)steer->len);
+                  hs_reason_name (steer->reason), "agents",
+                  (int)(steer->len + steer->asked));
 }
 
 /* A decision made by the load of BACKEND.  */
--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -253,6 +253,38 @@
   return take_known (sidecar, flow, segment, entry, ask, now);
 }
 
+/* Tells what hs_sidecar_from_entry would make of SEGMENT, and changes
+   nothing.  */
+enum hs_claim
+hs_sidecar_asked (const struct hs_sidecar *sidecar,
+                  const struct hs_segment *segment, uint64_t now)
+{
+  struct hs_segment_key key = hs_segment_key (segment, true);
+  const struct flow *flow = hs_flow_table_find (sidecar->flows, &key);
+  bool learns = sidecar->learn_until != 0;
+
+  if (flow == NULL)
+    return learns ? HS_CLAIM_UNSURE : HS_CLAIM_DENIED;
+  if (is_of_another (flow, segment))
+    return HS_CLAIM_DENIED;
+  switch (flow->state)
+    {
+    case FLOW_OPEN:
+      return HS_CLAIM_HELD;
+    case FLOW_OPENING:
+    case FLOW_ANSWERED:
+      return HS_CLAIM_UNSURE;
+    case FLOW_NOT_HELD:
+      if (now - flow->base.active_at <= NOT_HELD_MS)
+        return HS_CLAIM_DENIED;
+      break;
+    case FLOW_PROBED:
+    case FLOW_LATE:
+      break;
+    }
+  return learns ? HS_CLAIM_UNSURE : HS_CLAIM_DENIED;
+}
+
 struct hs_sidecar_step
 hs_sidecar_from_upstream (struct hs_sidecar *sidecar,
                           const struct hs_segment *segment, uint64_t now)
--- a/src/segment/steering.c
+++ b/src/segment/steering.c
@@ -2,8 +2,11 @@
 
    Only a SYN is placed.  Every other segment goes to the agent that holds
    its flow: the one it was placed on, or, where this entry has not seen the
-   flow before, all agents of the route's services are asked, and the one
-   that holds it takes the segment and says so.  A copy of a SYN may be
+   flow before, the agents of the route's services are asked, those of the
+   own availability zone first, and the segment is kept until one says that
+   it holds the flow.  The load answered here is the flows of an entry that
+   has stopped, which come all at once: a question is small, while copies of
+   segments for all agents would fill the links.  A copy of a SYN may be
    offered to a second agent when the first one is in doubt; the flow is then
    where the caller acknowledged the handshake, and asking tells.  */
 
@@ -19,6 +22,13 @@
 /* The copy of a SYN from which on the agent that got the others is doubted. */
 #define COPY_DOUBTED 2
 
+/* Until agents that have not answered are asked again, the first time; it
+   doubles.  A round trip between availability zones takes 3 ms.  */
+#define ASK_AGAIN_MS 50
+
+/* Times that a flow is asked for, until its caller sends a segment again.  */
+#define ASK_ROUNDS 5
+
 struct flow
 {
   struct hs_segment_flow base;
@@ -31,7 +41,13 @@
   uint64_t tried[HS_STEER_TRIES]; /* Slots that were offered the SYN.  */
 
   /* Of a flow that was asked for.  */
-  uint32_t caller_ack;    /* The latest of the caller.  */
+  struct hs_list asking; /* While agents are asked.  */
+  bool is_asked_for;     /* It is in that list.  */
+  bool asked_all;        /* Not only those of the own availability zone.  */
+  unsigned int rounds;   /* Times it was asked for.  */
+  uint64_t asked_at;     /* ms  */
+  uint32_t caller_seq;   /* The latest of the caller.  */
+  uint32_t caller_ack;
   uint64_t asked_service; /* 0: any.  */
   size_t denied_len;
   uint64_t *denied; /* Slots of agents that do not hold it; a child.  */
@@ -46,6 +62,7 @@
   bool complete; /* No agent that lives is missing in the fleet.  */
   uint64_t now;  /* When that was said, ms.  */
   struct hs_flow_table *flows;
+  struct hs_list asking; /* Flows that agents are asked for.  */
 };
 
 /* Private functions.  */
@@ -63,16 +80,24 @@
                                   struct flow *flow);
 static struct hs_steer to_tried (struct hs_steering *steering,
                                  const struct flow *flow);
-static struct hs_steer ask_all (struct hs_steering *steering,
-                                struct flow *flow,
-                                const struct hs_segment *segment,
-                                uint64_t now);
+static struct hs_steer hold (struct hs_steering *steering, struct flow *flow,
+                             const struct hs_segment *segment, uint64_t now);
+static size_t ask_round (struct hs_steering *steering, struct flow *flow,
+                         uint64_t now);
+static size_t ask (struct hs_steering *steering, const struct flow *flow,
+                   uint64_t now);
+static void ask_again (struct hs_steering *steering, struct flow *flow,
+                       uint64_t now);
+static void stop_asking (struct flow *flow);
+static void on_flow_gone (void *ctx, struct hs_segment_flow *base);
+static struct hs_segment segment_of (const struct flow *flow);
 static void on_complete (void *ctx, struct hs_segment_flow *base);
 static void reset_if_denied (struct hs_steering *steering, struct flow *flow,
                              uint64_t now);
 static bool is_denied_by (const struct flow *flow, uint64_t slot);
 static bool is_denied_by_all (const struct hs_steering *steering,
-                              const struct flow *flow, uint64_t now);
+                              const struct flow *flow, bool in_zone,
+                              uint64_t now);
 static struct hs_steer to_one (const struct hs_backend *backend, bool placed);
 static struct hs_steer without (enum hs_steer_kind kind,
                                 enum hs_reason reason);
@@ -93,8 +118,10 @@
   steering->fleet = fleet;
   steering->ops = *ops;
   steering->ctx = ctx;
-  steering->flows = hs_flow_table_create (steering, sizeof (struct flow),
-                                          HS_STEERING_FLOWS_MAX, NULL, NULL);
+  steering->flows
+      = hs_flow_table_create (steering, sizeof (struct flow),
+                              HS_STEERING_FLOWS_MAX, on_flow_gone, NULL);
+  hs_list_init (&steering->asking);
   return steering;
 }
 
@@ -143,7 +170,7 @@
     return to_holder (steering, flow);
   if (flow->holder == 0 && flow->tried_len > 1)
     return to_tried (steering, flow);
-  return ask_all (steering, flow, segment, now);
+  return hold (steering, flow, segment, now);
 }
 
 struct hs_steer
@@ -179,7 +206,14 @@
                   const struct hs_segment_key *key, uint64_t slot,
                   uint64_t now)
 {
-  get_flow (steering, key, now)->holder = slot;
+  struct flow *flow = get_flow (steering, key, now);
+  const struct hs_backend *backend = hs_fleet_find (steering->fleet, slot);
+
+  flow->holder = slot;
+  if (!flow->is_asked_for || backend == NULL)
+    return;
+  stop_asking (flow);
+  steering->ops.release (steering->ctx, key, backend, false);
 }
 
 void
@@ -196,20 +230,45 @@
     flow->holder = 0;
   if (flow->holder != 0 || flow->tried_len > 0)
     return;
-  if (!is_denied_by (flow, slot) && flow->denied_len < HS_STEER_MAX)
+  if (!is_denied_by (flow, slot) && flow->denied_len < HS_STEER_ASKED_MAX)
     {
       flow->denied = talloc_realloc (flow, flow->denied, uint64_t,
                                      flow->denied_len + 1);
       flow->denied[flow->denied_len++] = slot;
     }
+  if (flow->is_asked_for && !flow->asked_all
+      && is_denied_by_all (steering, flow, true, now))
+    ask_again (steering, flow, now);
   if (steering->complete)
     reset_if_denied (steering, flow, now);
 }
 
 void
-hs_steering_expire (struct hs_steering *steering, uint64_t now)
+hs_steering_unsure (struct hs_steering *steering,
+                    const struct hs_segment_key *key, uint64_t slot)
+{
+  struct flow *flow = hs_flow_table_find (steering->flows, key);
+  const struct hs_backend *backend = hs_fleet_find (steering->fleet, slot);
+
+  if (flow != NULL && flow->is_asked_for && backend != NULL)
+    steering->ops.release (steering->ctx, key, backend, true);
+}
+
+void
+hs_steering_tick (struct hs_steering *steering, uint64_t now)
 {
   hs_flow_table_expire (steering->flows, FLOW_IDLE_MS, now);
+  HS_LIST_FOREACH (link, &steering->asking)
+    {
+      struct flow *flow = HS_LIST_ENTRY (link, struct flow, asking);
+
+      if (now - flow->asked_at < (uint64_t)ASK_AGAIN_MS << (flow->rounds - 1))
+        continue;
+      if (flow->rounds < ASK_ROUNDS)
+        ask_again (steering, flow, now);
+      else
+        stop_asking (flow);
+    }
 }
 
 size_t
@@ -247,6 +306,7 @@
   flow->holder = 0;
   flow->tried_len = 0;
   flow->denied_len = 0;
+  stop_asking (flow);
   return place (steering, flow, now);
 }
 
@@ -313,30 +373,109 @@
   return steer;
 }
 
+/* While agents are asked, SEGMENT waits with those before it.  */
 static struct hs_steer
-ask_all (struct hs_steering *steering, struct flow *flow,
-         const struct hs_segment *segment, uint64_t now)
+hold (struct hs_steering *steering, struct flow *flow,
+      const struct hs_segment *segment, uint64_t now)
 {
   const struct hs_routing_rule *rule
       = steering->routing != NULL
             ? hs_routing_find (steering->routing, &segment->to)
             : NULL;
-  struct hs_steer steer = { .kind = HS_STEER_FORWARD, .ask = true };
+  struct hs_steer steer = without (HS_STEER_HOLD, HS_REASON_NONE);
 
+  flow->caller_seq = segment->seq;
+  if ((segment->flags & HS_SEGMENT_ACK) != 0)
+    flow->caller_ack = segment->ack;
+  if (flow->is_asked_for)
+    return steer;
   /* The route may have been moved or dropped since the flow was opened.  */
   flow->asked_service
       = rule != NULL && rule->splits_len == 1 ? rule->splits[0].service : 0;
   flow->holder = 0;
   flow->tried_len = 0;
-  if ((segment->flags & HS_SEGMENT_ACK) != 0)
-    flow->caller_ack = segment->ack;
-  steer.len = hs_fleet_of_service (steering->fleet, flow->asked_service,
-                                   steer.to, HS_STEER_MAX, now);
-  if (steer.len == 0)
+  flow->denied_len = 0;
+  flow->asked_all = false;
+  flow->rounds = 0;
+  steer.asked = ask_round (steering, flow, now);
+  if (steer.asked == 0)
     return without (HS_STEER_DROP, HS_REASON_NO_UPSTREAM);
+  flow->is_asked_for = true;
+  hs_list_append (&steering->asking, &flow->asking);
   return steer;
 }
 
+/* Agents of the own availability zone hold most flows of its callers.  */
+static size_t
+ask_round (struct hs_steering *steering, struct flow *flow, uint64_t now)
+{
+  size_t asked = ask (steering, flow, now);
+
+  flow->rounds++;
+  flow->asked_at = now;
+  if (asked > 0 || flow->asked_all)
+    return asked;
+  flow->asked_all = true;
+  return ask (steering, flow, now);
+}
+
+/* Asks those that have not denied it; returns how many.  */
+static size_t
+ask (struct hs_steering *steering, const struct flow *flow, uint64_t now)
+{
+  const struct hs_backend *backends[HS_STEER_ASKED_MAX];
+  size_t len = hs_fleet_of_service (steering->fleet, flow->asked_service,
+                                    backends, HS_STEER_ASKED_MAX, now);
+  struct hs_segment segment = segment_of (flow);
+  size_t asked = 0;
+
+  for (size_t i = 0; i < len; i++)
+    {
+      if ((!flow->asked_all && !backends[i]->in_zone)
+          || is_denied_by (flow, backends[i]->report.slot))
+        continue;
+      steering->ops.ask (steering->ctx, backends[i], &segment);
+      asked++;
+    }
+  return asked;
+}
+
+/* A question or its answer may have been lost, or the holder is in another
+   availability zone.  */
+static void
+ask_again (struct hs_steering *steering, struct flow *flow, uint64_t now)
+{
+  flow->asked_all = true;
+  ask_round (steering, flow, now);
+}
+
+static void
+stop_asking (struct flow *flow)
+{
+  if (!flow->is_asked_for)
+    return;
+  flow->is_asked_for = false;
+  hs_list_remove (&flow->asking);
+}
+
+static void
+on_flow_gone (void *ctx, struct hs_segment_flow *base)
+{
+  (void)ctx;
+  stop_asking ((struct flow *)base);
+}
+
+/* What the caller of FLOW sent last, without payload.  */
+static struct hs_segment
+segment_of (const struct flow *flow)
+{
+  return (struct hs_segment){ .from = flow->base.key.caller,
+                              .to = flow->base.key.address,
+                              .flags = HS_SEGMENT_ACK,
+                              .seq = flow->caller_seq,
+                              .ack = flow->caller_ack };
+}
+
 /* What was denied before all agents were known counts now.  */
 static void
 on_complete (void *ctx, struct hs_segment_flow *base)
@@ -350,15 +489,13 @@
 static void
 reset_if_denied (struct hs_steering *steering, struct flow *flow, uint64_t now)
 {
-  struct hs_segment segment = { .from = flow->base.key.caller,
-                                .to = flow->base.key.address,
-                                .flags = HS_SEGMENT_ACK,
-                                .ack = flow->caller_ack };
+  struct hs_segment segment = segment_of (flow);
 
   if (flow->denied_len == 0 || flow->holder != 0 || flow->tried_len > 0
-      || !is_denied_by_all (steering, flow, now))
+      || !is_denied_by_all (steering, flow, false, now))
     return;
   flow->denied_len = 0;
+  stop_asking (flow);
   steering->ops.reset (steering->ctx, &segment);
 }
 
@@ -371,19 +508,21 @@
   return false;
 }
 
-/* An agent that is not heard of at present may hold the flow.  */
+/* IN_ZONE: by all of the own availability zone.  An agent that is not heard
+   of at present may hold the flow.  */
 static bool
 is_denied_by_all (const struct hs_steering *steering, const struct flow *flow,
-                  uint64_t now)
+                  bool in_zone, uint64_t now)
 {
-  const struct hs_backend *backends[HS_STEER_MAX];
+  const struct hs_backend *backends[HS_STEER_ASKED_MAX];
   size_t len = hs_fleet_of_service (steering->fleet, flow->asked_service,
-                                    backends, HS_STEER_MAX, now);
+                                    backends, HS_STEER_ASKED_MAX, now);
 
   for (size_t i = 0; i < len; i++)
-    if (!is_denied_by (flow, backends[i]->report.slot))
+    if ((backends[i]->in_zone || !in_zone)
+        && !is_denied_by (flow, backends[i]->report.slot))
       return false;
-  return len > 0 && len < HS_STEER_MAX;
+  return len > 0 && len < HS_STEER_ASKED_MAX;
 }
 
 static struct hs_steer
--- a/src/wire/inner.c
+++ b/src/wire/inner.c
@@ -16,7 +16,7 @@
 static const uint8_t fields_of[HS_INNER_TYPES] = {
   [HS_INNER_FORWARD] = 5, [HS_INNER_REFUSED] = 5, [HS_INNER_HELD] = 7,
   [HS_INNER_REPORT] = 15, [HS_INNER_SYNC] = 10,   [HS_INNER_STATUS] = 7,
-  [HS_INNER_FETCH] = 3,   [HS_INNER_PART] = 5,
+  [HS_INNER_FETCH] = 3,   [HS_INNER_PART] = 5,    [HS_INNER_ASK] = 8,
 };
 
 /* Private functions.  */
@@ -28,11 +28,13 @@
 static void pack_addrs (msgpack_packer *out,
                         const struct hs_inner_addrs *addrs);
 static void pack_part (msgpack_packer *out, const struct hs_inner_part *part);
+static void pack_asked (msgpack_packer *out, const struct hs_segment *asked);
 static void read_body (struct hs_unpack *in, struct hs_inner *inner);
 static void read_report (struct hs_unpack *in, struct hs_load_report *report);
 static void read_sync (struct hs_unpack *in, struct hs_inner_sync *sync);
 static void read_addrs (struct hs_unpack *in, struct hs_inner_addrs *addrs);
 static void read_part (struct hs_unpack *in, struct hs_inner_part *part);
+static void read_asked (struct hs_unpack *in, struct hs_segment *asked);
 
 /* Public definitions.  */
 
@@ -96,7 +98,7 @@
       break;
     case HS_INNER_HELD:
       msgpack_pack_uint64 (out, inner->held.slot);
-      msgpack_pack_uint8 (out, inner->held.held);
+      msgpack_pack_uint8 (out, (uint8_t)inner->held.claim);
       hs_pack_addr (out, &inner->held.key.caller);
       hs_pack_addr (out, &inner->held.key.address);
       break;
@@ -121,6 +123,9 @@
     case HS_INNER_PART:
       pack_part (out, &inner->part);
       break;
+    case HS_INNER_ASK:
+      pack_asked (out, &inner->asked);
+      break;
     case HS_INNER_NONE:
     case HS_INNER_REPLICA:
     case HS_INNER_TYPES:
@@ -177,6 +182,16 @@
   msgpack_pack_bin_body (out, part->bytes, part->len);
 }
 
+static void
+pack_asked (msgpack_packer *out, const struct hs_segment *asked)
+{
+  hs_pack_addr (out, &asked->from);
+  hs_pack_addr (out, &asked->to);
+  msgpack_pack_uint8 (out, (uint8_t)asked->flags);
+  msgpack_pack_uint32 (out, asked->seq);
+  msgpack_pack_uint32 (out, asked->ack);
+}
+
 static void
 read_body (struct hs_unpack *in, struct hs_inner *inner)
 {
@@ -192,7 +207,7 @@
       break;
     case HS_INNER_HELD:
       inner->held.slot = hs_unpack_uint (in, UINT64_MAX);
-      inner->held.held = hs_unpack_uint (in, 1) != 0;
+      inner->held.claim = (enum hs_claim)hs_unpack_uint (in, HS_CLAIM_UNSURE);
       hs_unpack_addr (in, &inner->held.key.caller);
       hs_unpack_addr (in, &inner->held.key.address);
       break;
@@ -217,6 +232,9 @@
     case HS_INNER_PART:
       read_part (in, &inner->part);
       break;
+    case HS_INNER_ASK:
+      read_asked (in, &inner->asked);
+      break;
     case HS_INNER_NONE:
     case HS_INNER_REPLICA:
     case HS_INNER_TYPES:
@@ -278,3 +296,14 @@
   part->offset = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
   part->len = (uint32_t)hs_unpack_bin (in, part->bytes, HS_INNER_PART_MAX);
 }
+
+static void
+read_asked (struct hs_unpack *in, struct hs_segment *asked)
+{
+  hs_unpack_addr (in, &asked->from);
+  hs_unpack_addr (in, &asked->to);
+  asked->flags = (unsigned int)hs_unpack_uint (in, UINT8_MAX);
+  asked->seq = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
+  asked->ack = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
+  asked->len = 0;
+}
--- a/src/wire/inner.h
+++ b/src/wire/inner.h
@@ -20,13 +20,14 @@
   HS_INNER_NONE,    /* Not a message.  */
   HS_INNER_FORWARD, /* Entry to agent: a caller's segment.  */
   HS_INNER_REFUSED, /* Agent to entry: a SYN that has not run.  */
-  HS_INNER_HELD,    /* Agent to entry: whether it holds the flow.  */
+  HS_INNER_HELD,    /* Agent to entry: whether it holds a flow.  */
   HS_INNER_REPORT,  /* Agent to entry: its load.  */
   HS_INNER_SYNC,    /* Entry or agent to control: it is there.  */
   HS_INNER_STATUS,  /* The answer to it.  */
   HS_INNER_FETCH,   /* Entry to control: a part of the configuration.  */
   HS_INNER_PART,    /* The answer to it.  */
   HS_INNER_REPLICA, /* Between control hosts: see replica_message.h.  */
+  HS_INNER_ASK,     /* Entry to agent: does it hold the flow?  */
   HS_INNER_TYPES
 };
 
@@ -41,7 +42,7 @@
 struct hs_inner_held
 {
   uint64_t slot;
-  bool held;
+  enum hs_claim claim;
   struct hs_segment_key key;
 };
 
@@ -90,6 +91,7 @@
   {
     struct hs_inner_header header; /* FORWARD, REFUSED  */
     struct hs_inner_held held;
+    struct hs_segment asked; /* ASK: the latest of the caller; no payload.  */
     struct hs_load_report report;
     struct hs_inner_sync sync;
     struct hs_inner_status status;
