Note flows at a home, bound questions, and refuse uploads on a full link

(1) A flow that moved to another entry was asked for at its own availability zone (10 agents) and, two times in five, at all 42. (2) After the loss of power nobody holds any flow, and each cost up to five rounds of questions to everyone: 70 flows a second and entry are 1 MB/s, more than the link of 6.9 Mbit/s takes, so that answers were lost and the rounds never ended.

Ruled out: processor time (0.02 of 0.12 cores), slots (a third was in use), the control group (acknowledged within 90 ms).

Change: entries tell the home of a flow, the first agent in its ranking, of flows that are older than 0.5 s, and ask it first. Questions to more than the home take a tenth of the link at most; what everybody has denied is not asked for again for 1.5 s. Each entry counts what its link carries against 85% of the rate that its new setting link-mbps gives, and refuses new uploads at a queue of 40 ms and flows of low priority at 150 ms.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -874,6 +874,29 @@
                                               every service.  */
 void hs_fleet_expire (struct hs_fleet *fleet, uint64_t now);
 
+/* Link: how full the link of an entry's host is, by its own count.  */
+
+enum hs_link_direction
+{
+  HS_LINK_IN,
+  HS_LINK_OUT,
+  HS_LINK_DIRECTIONS
+};
+
+struct hs_link;
+
+struct hs_link *hs_link_create (void *parent,
+                                double mbit_per_s); /* 0: without bound.  */
+void hs_link_destroy (struct hs_link *link);
+void hs_link_note (struct hs_link *link, enum hs_link_direction direction,
+                   size_t len, uint64_t now); /* A datagram of LEN bytes.  */
+uint64_t hs_link_queue_ms (struct hs_link *link,
+                           uint64_t now); /* Of the fuller direction.  */
+bool hs_link_refuses (struct hs_link *link, enum hs_work work,
+                      uint32_t priority, uint64_t now); /* A new flow?  */
+bool hs_link_takes_questions (struct hs_link *link, size_t len,
+                              uint64_t now); /* False: not now.  */
+
 /* Steering: what an entry does with a segment of a caller.  */
 
 #define HS_STEER_ASKED_MAX 256      /* Agents asked for a flow.  */
@@ -897,7 +920,8 @@
                   says so.  */
   const struct hs_backend *least_busy; /* RESET as overloaded: by whose
                                           load.  */
-  size_t asked; /* HOLD: agents that were asked just now.  */
+  uint64_t link_ms; /* RESET as overloaded: queue of this host's link.  */
+  size_t asked;     /* HOLD: agents that were asked just now.  */
   size_t len;
   const struct hs_backend *to[HS_STEER_TRIES];
 };
@@ -919,9 +943,14 @@
      finds out by it.  */
   void (*release) (void *ctx, const struct hs_segment_key *key,
                    const struct hs_backend *backend, bool if_held);
+
+  /* HOME is to note that the agent of SLOT holds the flow.  */
+  void (*note) (void *ctx, const struct hs_backend *home,
+                const struct hs_segment_key *key, uint64_t slot);
 };
 
 struct hs_steering *hs_steering_create (void *parent, struct hs_fleet *fleet,
+                                        struct hs_link *link,
                                         const struct hs_steering_ops *ops,
                                         void *ctx);
 void hs_steering_destroy (struct hs_steering *steering);
@@ -946,12 +975,29 @@
                          const struct hs_segment_key *key, uint64_t slot,
                          uint64_t now); /* That agent does not hold it.  */
 void hs_steering_unsure (struct hs_steering *steering,
-                         const struct hs_segment_key *key,
-                         uint64_t slot); /* Only a segment of it tells.  */
+                         const struct hs_segment_key *key, uint64_t slot,
+                         uint64_t now); /* Only a segment of it tells.  */
+void hs_steering_noted (struct hs_steering *steering,
+                        const struct hs_segment_key *key, uint64_t slot,
+                        uint64_t now); /* Says its home.  */
 void hs_steering_tick (struct hs_steering *steering,
                        uint64_t now); /* Asks again, and forgets.  */
 size_t hs_steering_flows (const struct hs_steering *steering);
 
+/* Notes: the flows of others that an agent is home for, and who holds them. */
+
+#define HS_NOTES_MAX 16384
+
+struct hs_notes;
+
+struct hs_notes *hs_notes_create (void *parent);
+void hs_notes_destroy (struct hs_notes *notes);
+void hs_notes_put (struct hs_notes *notes, const struct hs_segment_key *key,
+                   uint64_t slot, uint64_t now); /* Of the holder.  */
+uint64_t hs_notes_find (const struct hs_notes *notes,
+                        const struct hs_segment_key *key); /* 0: none.  */
+void hs_notes_expire (struct hs_notes *notes, uint64_t now);
+
 /* Sidecar: what an agent does with the segments of its upstream's flows.  */
 
 #define HS_SIDECAR_FLOWS_MAX 16384 /* Flows of one upstream.  */
@@ -992,7 +1038,8 @@
   HS_CLAIM_NONE,
   HS_CLAIM_HELD,
   HS_CLAIM_DENIED, /* The upstream does not hold it.  */
-  HS_CLAIM_UNSURE  /* The upstream may hold it: a segment tells.  */
+  HS_CLAIM_UNSURE, /* The upstream may hold it: a segment tells.  */
+  HS_CLAIM_NOTED   /* Another agent was noted as its holder.  */
 };
 
 struct hs_sidecar_step
--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -67,6 +67,7 @@
 
   /* Of the decide thread alone.  */
   struct hs_sidecar *sidecar;
+  struct hs_notes *notes;
   uint64_t report_seq;
   uint64_t report_due;  /* ms  */
   uint64_t drained_due; /* ms; 0: not draining  */
@@ -235,6 +236,7 @@
   agent->sidecar = hs_sidecar_create (
       decide, settings->service, &settings->upstream, settings->heartbeat_ms,
       hs_clock_wall (), &sidecar_ops, agent);
+  agent->notes = hs_notes_create (decide);
   hs_duty_watch_ring (decide, agent->calls, on_call, agent);
   hs_receiver_watch (agent->front->path->receiver, agent->outbound_fd,
                      TAG_UPSTREAM);
@@ -381,6 +383,8 @@
 
   if (inner->type == HS_INNER_ASK)
     on_asked (agent, &inner->asked, &packet->peer, now);
+  if (inner->type == HS_INNER_HELD)
+    hs_notes_put (agent->notes, &inner->held.key, inner->held.slot, now);
   if (inner->type != HS_INNER_FORWARD)
     return;
   if (!dialect->decode_segment (dialect->ctx, hs_packet_bytes (packet),
@@ -421,6 +425,7 @@
   struct hs_load_report load;
 
   hs_sidecar_tick (agent->sidecar, now);
+  hs_notes_expire (agent->notes, now);
   hs_sidecar_load (agent->sidecar, &load);
   hs_counter_set (agent->counts.busy, load.busy);
   hs_counter_set (agent->counts.flows, load.flows);
@@ -531,14 +536,25 @@
 on_asked (struct hs_segment_agent *agent, const struct hs_segment *asked,
           const struct hs_addr *entry, uint64_t now)
 {
+  struct hs_segment_key key = hs_segment_key (asked, true);
+  uint64_t noted = hs_notes_find (agent->notes, &key);
   struct hs_sidecar_step step
       = { .action = HS_SIDECAR_DELIVER,
           .claim = hs_sidecar_asked (agent->sidecar, asked, now),
           .entry = *entry };
+  struct hs_inner inner = { .type = HS_INNER_HELD };
 
-  if (step.claim == HS_CLAIM_HELD)
-    log_step (agent, asked, &step);
-  tell_claim (agent, hs_segment_key (asked, true), &step);
+  if (step.claim == HS_CLAIM_HELD || noted == 0 || noted == agent->front->slot)
+    {
+      if (step.claim == HS_CLAIM_HELD)
+        log_step (agent, asked, &step);
+      tell_claim (agent, key, &step);
+      return;
+    }
+  inner.held.slot = noted;
+  inner.held.claim = HS_CLAIM_NOTED;
+  inner.held.key = key;
+  hs_front_send (agent->front, entry, &inner);
 }
 
 static void
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -40,6 +40,8 @@
                        const char *text, void *fields, GError **error);
 static bool set_uint (const struct hs_setting *setting, const char *source,
                       const char *text, uint64_t *value, GError **error);
+static bool set_decimal (const struct hs_setting *setting, const char *source,
+                         const char *text, double *value, GError **error);
 static void variable_of (const struct hs_setting *setting, char *variable);
 static bool refuse (const char *source, const char *text, const char *takes,
                     GError **error);
@@ -232,6 +234,9 @@
     case HS_SETTING_UINT:
       return set_uint (setting, source, text, (uint64_t *)(void *)field,
                        error);
+    case HS_SETTING_DECIMAL:
+      return set_decimal (setting, source, text, (double *)(void *)field,
+                          error);
     case HS_SETTING_FLAG:
       if (strcmp (text, "1") != 0 && strcmp (text, "0") != 0)
         return refuse (source, text, "1 or 0", error);
@@ -277,6 +282,24 @@
   return true;
 }
 
+static bool
+set_decimal (const struct hs_setting *setting, const char *source,
+             const char *text, double *value, GError **error)
+{
+  g_autofree char *takes = g_strdup_printf ("a number from %llu to %llu",
+                                            (unsigned long long)setting->min,
+                                            (unsigned long long)setting->max);
+  char *end;
+  double number = g_ascii_strtod (text, &end);
+
+  /* Not a number compares with nothing.  */
+  if (end == text || *end != '\0'
+      || !(number >= (double)setting->min && number <= (double)setting->max))
+    return refuse (source, text, takes, error);
+  *value = number;
+  return true;
+}
+
 static void
 variable_of (const struct hs_setting *setting, char *variable)
 {
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -24,12 +24,13 @@
 
 enum hs_setting_type
 {
-  HS_SETTING_STRING, /* const char *  */
-  HS_SETTING_NAME,   /* const char *, letters, digits, '-', '_', '.'  */
-  HS_SETTING_ADDR,   /* struct hs_addr, "IP:PORT"  */
-  HS_SETTING_ADDRS,  /* struct hs_addrs, "IP:PORT,IP:PORT", or ""  */
-  HS_SETTING_UINT,   /* uint64_t, from MIN to MAX  */
-  HS_SETTING_FLAG    /* bool, no value; variable: 1 or 0  */
+  HS_SETTING_STRING,  /* const char *  */
+  HS_SETTING_NAME,    /* const char *, letters, digits, '-', '_', '.'  */
+  HS_SETTING_ADDR,    /* struct hs_addr, "IP:PORT"  */
+  HS_SETTING_ADDRS,   /* struct hs_addrs, "IP:PORT,IP:PORT", or ""  */
+  HS_SETTING_UINT,    /* uint64_t, from MIN to MAX  */
+  HS_SETTING_DECIMAL, /* double, from MIN to MAX, as "6.9"  */
+  HS_SETTING_FLAG     /* bool, no value; variable: 1 or 0  */
 };
 
 struct hs_setting
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -59,6 +59,7 @@
 
   /* Of the decide thread alone.  */
   struct hs_fleet *fleet;
+  struct hs_link *link;
   struct hs_steering *steering;
   struct hs_held_packets *held;
   struct hs_routing *routing; /* In force; NULL: none yet.  */
@@ -93,6 +94,8 @@
 static void on_release (void *ctx, const struct hs_segment_key *key,
                         const struct hs_backend *backend, bool if_held);
 static void release_one (void *ctx, const uint8_t *data, size_t len);
+static void on_note (void *ctx, const struct hs_backend *home,
+                     const struct hs_segment_key *key, uint64_t slot);
 static void on_report (struct hs_segment_entry *entry,
                        const struct hs_load_report *report, uint64_t now);
 static void on_configuration (void *ctx, const uint8_t *bytes, size_t len);
@@ -137,7 +140,7 @@
                                      .dialect = settings->dialect };
   struct hs_front_ops ops = { on_packet,  on_inner, on_configuration,
                               on_entries, on_tick,  on_drain };
-  struct hs_steering_ops steering = { on_reset, on_ask, on_release };
+  struct hs_steering_ops steering = { on_reset, on_ask, on_release, on_note };
 
   entry->settings = *settings;
   entry->log = log;
@@ -155,8 +158,10 @@
       return NULL;
     }
   entry->fleet = hs_fleet_create (entry->front->path->decide, settings->zone);
-  entry->steering = hs_steering_create (entry->front->path->decide,
-                                        entry->fleet, &steering, entry);
+  entry->link
+      = hs_link_create (entry->front->path->decide, settings->link_mbps);
+  entry->steering = hs_steering_create (
+      entry->front->path->decide, entry->fleet, entry->link, &steering, entry);
   entry->held = hs_held_packets_create (entry->front->path->decide);
   hs_receiver_watch (entry->front->path->receiver, entry->segments_fd,
                      TAG_SEGMENTS);
@@ -237,6 +242,7 @@
   struct hs_steer steer;
 
   entry->last_segment_at = now;
+  hs_link_note (entry->link, HS_LINK_IN, packet->len, now);
   if (!dialect->decode_segment (dialect->ctx, hs_packet_bytes (packet),
                                 packet->len, &segment))
     {
@@ -253,6 +259,8 @@
 {
   struct hs_segment_entry *entry = ctx;
 
+  hs_link_note (entry->link, HS_LINK_IN, packet->len + HS_INNER_HEADER_MAX,
+                now);
   if (inner->type == HS_INNER_REFUSED)
     on_refused (entry, packet, &inner->header, now);
   else if (inner->type == HS_INNER_REPORT)
@@ -275,7 +283,10 @@
       hs_steering_denied (entry->steering, &claim->key, claim->slot, now);
       break;
     case HS_CLAIM_UNSURE:
-      hs_steering_unsure (entry->steering, &claim->key, claim->slot);
+      hs_steering_unsure (entry->steering, &claim->key, claim->slot, now);
+      break;
+    case HS_CLAIM_NOTED:
+      hs_steering_noted (entry->steering, &claim->key, claim->slot, now);
       break;
     case HS_CLAIM_NONE:
       break;
@@ -305,6 +316,8 @@
   struct hs_inner inner = { .type = HS_INNER_ASK, .asked = *segment };
 
   hs_counter_add (entry->counts.asked, 1);
+  hs_link_note (entry->link, HS_LINK_OUT, HS_INNER_HEADER_MAX,
+                hs_clock_now ());
   hs_front_send (entry->front, &backend->report.address, &inner);
 }
 
@@ -335,7 +348,20 @@
     return;
   memcpy (hs_packet_bytes (packet), data, len);
   packet->len = (uint16_t)len;
-  forward (entry, packet, &steer, 0);
+  forward (entry, packet, &steer, hs_clock_now ());
+}
+
+static void
+on_note (void *ctx, const struct hs_backend *home,
+         const struct hs_segment_key *key, uint64_t slot)
+{
+  struct hs_segment_entry *entry = ctx;
+  struct hs_inner inner = { .type = HS_INNER_HELD };
+
+  inner.held.claim = HS_CLAIM_NOTED;
+  inner.held.slot = slot;
+  inner.held.key = *key;
+  hs_front_send (entry->front, &home->report.address, &inner);
 }
 
 static void
@@ -497,6 +523,7 @@
       inner.header.service = report->service;
       inner.header.slot = report->slot;
       hs_front_wrap (entry->front, packet, &inner, &report->address);
+      hs_link_note (entry->link, HS_LINK_OUT, packet->len, now);
       if (i + 1 < steer->len)
         hs_front_copy (entry->front, packet);
     }
@@ -547,13 +574,15 @@
     log_load (entry, "flow-refused", caller, address, steer->least_busy, now);
   else
     hs_log_write (entry->log, HS_LOG_INFO,
-                  steer->kind == HS_STEER_RESET  ? "flow-reset"
-                  : steer->kind == HS_STEER_DROP ? "segment-dropped"
-                                                 : "holder-asked",
-                  "{s:s, s:s, s:I, s:s, s:i}", "caller", caller, "address",
-                  address, "version", version_of (entry), "reason",
+                  steer->link_ms > 0              ? "flow-refused"
+                  : steer->kind == HS_STEER_RESET ? "flow-reset"
+                  : steer->kind == HS_STEER_DROP  ? "segment-dropped"
+                                                  : "holder-asked",
+                  "{s:s, s:s, s:I, s:s, s:i, s:I}", "caller", caller,
+                  "address", address, "version", version_of (entry), "reason",
                   hs_reason_name (steer->reason), "agents",
-                  (int)(steer->len + steer->asked));
+                  (int)(steer->len + steer->asked), "link_ms",
+                  (json_int_t)steer->link_ms);
 }
 
 /* A decision made by the load of BACKEND.  */
--- a/src/entry/segment_entry.h
+++ b/src/entry/segment_entry.h
@@ -17,6 +17,7 @@
   struct hs_addr health;   /* Of readiness and metrics, HTTP.  */
   struct hs_addrs seeds;   /* API addresses of control hosts.  */
   uint64_t seed_port;      /* Of their inner addresses.  */
+  double link_mbps;        /* Rate of this host's link, Mbit/s; 0: no bound. */
   uint64_t drain_max_ms;
   const struct hs_dialect *dialect;
 };
--- a/src/entry/segment_main.c
+++ b/src/entry/segment_main.c
@@ -9,6 +9,7 @@
 /* Types.  */
 
 #define DRAIN_MAX_LIMIT_MS 3600000
+#define LINK_MAX_MBPS 1000000
 
 struct fields
 {
@@ -28,6 +29,8 @@
     "IP:PORT of agents and control hosts (UDP)" },
   { "health", HS_SETTING_ADDR, NULL, 0, 0, AT (entry.health),
     "IP:PORT of readiness and metrics (HTTP)" },
+  { "link-mbps", HS_SETTING_DECIMAL, "0", 0, LINK_MAX_MBPS,
+    AT (entry.link_mbps), "rate of this host's link, Mbit/s; 0: not a bound" },
   { "drain-max-ms", HS_SETTING_UINT, "5000", 0, DRAIN_MAX_LIMIT_MS,
     AT (entry.drain_max_ms),
     "longest time a stop waits for callers' segments to cease, ms" },
--- /dev/null
+++ b/src/segment/link.c
@@ -0,0 +1,126 @@
+/* link.c -- how full the link of an entry's host is.
+
+   A queue that exists only here is filled by what is sent or received and
+   drained at a part of the link's rate, so that it grows before the real one
+   does.  The load answered here is uploads that come together, or that the
+   entries which are left have to take: a full link loses segments of all its
+   flows, and each of those is sent again over the same link.  */
+
+#include "hibiscusspan.h"
+
+#include <talloc.h>
+
+/* Types.  */
+
+/* Part of the rate that may be used: what is left takes the differences
+   between this count and the link's own.  */
+#define USED_PERCENT 85
+
+/* Bytes of IP and UDP in front of a datagram.  */
+#define HEADERS_SIZE 28
+
+/* Part of the rate that questions for flows may take, and how many may be
+   asked at once after a pause: those of a few flows to a large service.  */
+#define QUESTIONS_PERCENT 10
+#define QUESTION_SIZE 80 /* Bytes, with headers.  */
+#define QUESTIONS_AT_ONCE 256
+
+/* Queue from which on a new upload is refused, and from which on a flow of
+   low priority is: a tenth and a third of the latency objectives of today.  */
+#define UPLOAD_QUEUE_MS 40
+#define FLOW_QUEUE_MS 150
+#define PRIORITY_LOW 2
+
+struct hs_link
+{
+  double rate; /* Bytes a ms that may be used; 0: without bound.  */
+  double queued[HS_LINK_DIRECTIONS]; /* Bytes.  */
+  double questions;                  /* That may be asked.  */
+  uint64_t drained_at;               /* ms  */
+};
+
+/* Private functions.  */
+
+static void drain (struct hs_link *link, uint64_t now);
+
+/* Public definitions.  */
+
+struct hs_link *
+hs_link_create (void *parent, double mbit_per_s)
+{
+  struct hs_link *link = talloc_zero (parent, struct hs_link);
+
+  link->rate = mbit_per_s * 1000 / 8 * USED_PERCENT / 100;
+  link->questions = QUESTIONS_AT_ONCE;
+  return link;
+}
+
+void
+hs_link_destroy (struct hs_link *link)
+{
+  talloc_free (link);
+}
+
+void
+hs_link_note (struct hs_link *link, enum hs_link_direction direction,
+              size_t len, uint64_t now)
+{
+  drain (link, now);
+  link->queued[direction] += (double)(len + HEADERS_SIZE);
+}
+
+uint64_t
+hs_link_queue_ms (struct hs_link *link, uint64_t now)
+{
+  double most = 0;
+
+  drain (link, now);
+  for (size_t i = 0; i < HS_LINK_DIRECTIONS; i++)
+    if (link->queued[i] > most)
+      most = link->queued[i];
+  return link->rate > 0 ? (uint64_t)(most / link->rate) : 0;
+}
+
+bool
+hs_link_refuses (struct hs_link *link, enum hs_work work, uint32_t priority,
+                 uint64_t now)
+{
+  uint64_t queue_ms = hs_link_queue_ms (link, now);
+
+  if (work == HS_WORK_UPLOAD)
+    return queue_ms > UPLOAD_QUEUE_MS;
+  return priority >= PRIORITY_LOW && queue_ms > FLOW_QUEUE_MS;
+}
+
+bool
+hs_link_takes_questions (struct hs_link *link, size_t len, uint64_t now)
+{
+  drain (link, now);
+  if (link->rate <= 0)
+    return true;
+  if (link->questions <= 0)
+    return false;
+  link->questions -= (double)len;
+  return true;
+}
+
+/* Private definitions.  */
+
+static void
+drain (struct hs_link *link, uint64_t now)
+{
+  double ms = now > link->drained_at ? (double)(now - link->drained_at) : 0;
+
+  if (now > link->drained_at)
+    link->drained_at = now;
+  for (size_t i = 0; i < HS_LINK_DIRECTIONS; i++)
+    {
+      link->queued[i] -= ms * link->rate;
+      if (link->queued[i] < 0)
+        link->queued[i] = 0;
+    }
+  link->questions
+      += ms * link->rate * QUESTIONS_PERCENT / USED_PERCENT / QUESTION_SIZE;
+  if (link->questions > QUESTIONS_AT_ONCE)
+    link->questions = QUESTIONS_AT_ONCE;
+}
--- a/src/segment/steering.c
+++ b/src/segment/steering.c
@@ -2,13 +2,15 @@
 
    Only a SYN is placed.  Every other segment goes to the agent that holds
    its flow: the one it was placed on, or, where this entry has not seen the
-   flow before, the agents of the route's services are asked, those of the
-   own availability zone first, and the segment is kept until one says that
+   flow before, agents are asked, and the segment is kept until one says that
    it holds the flow.  The load answered here is the flows of an entry that
-   has stopped, which come all at once: a question is small, while copies of
-   segments for all agents would fill the links.  A copy of a SYN may be
-   offered to a second agent when the first one is in doubt; the flow is then
-   where the caller acknowledged the handshake, and asking tells.  */
+   has stopped, which come all at once and would fill the links of the
+   others, were all agents asked for each.  The first one asked is therefore
+   the flow's home, the first in its ranking, which entries tell of flows
+   that stay; then the agents of the own availability zone, and last all.  A
+   copy of a SYN may be offered to a second agent when the first one is in
+   doubt; the flow is then where the caller acknowledged the handshake, and
+   asking tells.  */
 
 #include "segment/flow_table.h"
 
@@ -26,14 +28,32 @@
    doubles.  A round trip between availability zones takes 3 ms.  */
 #define ASK_AGAIN_MS 50
 
+/* Age from which on the home of a flow is told of it: most have ended by
+   then.  */
+#define NOTE_AFTER_MS 500
+
 /* Times that a flow is asked for, until its caller sends a segment again.  */
 #define ASK_ROUNDS 5
 
+/* How long the word of all agents that they do not hold a flow is taken. */
+#define LOST_MS 1500
+
+/* Who is asked for a flow.  */
+enum scope
+{
+  SCOPE_HOME,
+  SCOPE_ZONE, /* Agents of the own availability zone.  */
+  SCOPE_ALL
+};
+
 struct flow
 {
   struct hs_segment_flow base;
-  uint64_t holder; /* Slot; 0: not known.  */
+  uint64_t holder;    /* Slot; 0: not known.  */
+  uint64_t placed_at; /* ms  */
+  bool noted;         /* Its home knows of it.  */
   uint64_t service;
+  enum hs_work work; /* Of its route.  */
   uint32_t slo_ms;   /* Latency objective of its route.  */
   uint32_t priority; /* Of its route.  */
   uint32_t syn_seq;
@@ -43,19 +63,23 @@
   /* Of a flow that was asked for.  */
   struct hs_list asking; /* While agents are asked.  */
   bool is_asked_for;     /* It is in that list.  */
-  bool asked_all;        /* Not only those of the own availability zone.  */
-  unsigned int rounds;   /* Times it was asked for.  */
-  uint64_t asked_at;     /* ms  */
-  uint32_t caller_seq;   /* The latest of the caller.  */
+  enum scope scope;
+  uint64_t presumed;   /* Slot; said by its home, not yet by itself.  */
+  unsigned int rounds; /* Times it was asked for.  */
+  uint64_t asked_at;   /* ms  */
+  uint32_t caller_seq; /* The latest of the caller.  */
   uint32_t caller_ack;
   uint64_t asked_service; /* 0: any.  */
   size_t denied_len;
   uint64_t *denied; /* Slots of agents that do not hold it; a child.  */
+  bool is_lost;     /* All had denied it, ...  */
+  uint64_t lost_at; /* ... at that time, ms.  */
 };
 
 struct hs_steering
 {
   struct hs_fleet *fleet;
+  struct hs_link *link;
   struct hs_steering_ops ops;
   void *ctx;
   const struct hs_routing *routing; /* NULL: none yet.  */
@@ -84,10 +108,19 @@
                              const struct hs_segment *segment, uint64_t now);
 static size_t ask_round (struct hs_steering *steering, struct flow *flow,
                          uint64_t now);
-static size_t ask (struct hs_steering *steering, const struct flow *flow,
+static size_t collect (struct hs_steering *steering, const struct flow *flow,
+                       const struct hs_backend **wanted, uint64_t now);
+static void widen (struct hs_steering *steering, struct flow *flow,
                    uint64_t now);
-static void ask_again (struct hs_steering *steering, struct flow *flow,
-                       uint64_t now);
+static void note (struct hs_steering *steering, struct flow *flow,
+                  uint64_t now);
+static void set_asked_service (const struct hs_steering *steering,
+                               struct flow *flow);
+static const struct hs_backend *home_of (const struct flow *flow,
+                                         const struct hs_backend **backends,
+                                         size_t len);
+static bool is_in_scope (enum scope scope, const struct hs_backend *backend,
+                         const struct hs_backend *home);
 static void stop_asking (struct flow *flow);
 static void on_flow_gone (void *ctx, struct hs_segment_flow *base);
 static struct hs_segment segment_of (const struct flow *flow);
@@ -96,13 +129,15 @@
                              uint64_t now);
 static bool is_denied_by (const struct flow *flow, uint64_t slot);
 static bool is_denied_by_all (const struct hs_steering *steering,
-                              const struct flow *flow, bool in_zone,
+                              const struct flow *flow, enum scope scope,
                               uint64_t now);
 static struct hs_steer to_one (const struct hs_backend *backend, bool placed);
 static struct hs_steer without (enum hs_steer_kind kind,
                                 enum hs_reason reason);
 static struct hs_steer overloaded (const struct hs_steering *steering,
                                    const struct flow *flow, uint64_t now);
+static struct hs_steer link_full (const struct hs_steering *steering,
+                                  uint64_t now);
 static struct flow *get_flow (struct hs_steering *steering,
                               const struct hs_segment_key *key, uint64_t now);
 static void untry (struct flow *flow, uint64_t slot);
@@ -110,12 +145,13 @@
 /* Public definitions.  */
 
 struct hs_steering *
-hs_steering_create (void *parent, struct hs_fleet *fleet,
+hs_steering_create (void *parent, struct hs_fleet *fleet, struct hs_link *link,
                     const struct hs_steering_ops *ops, void *ctx)
 {
   struct hs_steering *steering = talloc_zero (parent, struct hs_steering);
 
   steering->fleet = fleet;
+  steering->link = link;
   steering->ops = *ops;
   steering->ctx = ctx;
   steering->flows
@@ -167,7 +203,11 @@
     flow->holder = flow->tried[0];
   if (flow->holder != 0
       && hs_fleet_find (steering->fleet, flow->holder) != NULL)
-    return to_holder (steering, flow);
+    {
+      if (!flow->noted && now - flow->placed_at >= NOTE_AFTER_MS)
+        note (steering, flow, now);
+      return to_holder (steering, flow);
+    }
   if (flow->holder == 0 && flow->tried_len > 1)
     return to_tried (steering, flow);
   return hold (steering, flow, segment, now);
@@ -213,6 +253,9 @@
   if (!flow->is_asked_for || backend == NULL)
     return;
   stop_asking (flow);
+  if (flow->scope != SCOPE_HOME)
+    note (steering, flow, now);
+  flow->noted = true;
   steering->ops.release (steering->ctx, key, backend, false);
 }
 
@@ -236,22 +279,49 @@
                                      flow->denied_len + 1);
       flow->denied[flow->denied_len++] = slot;
     }
-  if (flow->is_asked_for && !flow->asked_all
-      && is_denied_by_all (steering, flow, true, now))
-    ask_again (steering, flow, now);
+  if (flow->is_asked_for && flow->scope != SCOPE_ALL
+      && (slot == flow->presumed
+          || is_denied_by_all (steering, flow, flow->scope, now)))
+    widen (steering, flow, now);
   if (steering->complete)
     reset_if_denied (steering, flow, now);
 }
 
 void
 hs_steering_unsure (struct hs_steering *steering,
-                    const struct hs_segment_key *key, uint64_t slot)
+                    const struct hs_segment_key *key, uint64_t slot,
+                    uint64_t now)
 {
   struct flow *flow = hs_flow_table_find (steering->flows, key);
   const struct hs_backend *backend = hs_fleet_find (steering->fleet, slot);
 
-  if (flow != NULL && flow->is_asked_for && backend != NULL)
+  if (flow == NULL || !flow->is_asked_for)
+    return;
+  if (backend != NULL)
     steering->ops.release (steering->ctx, key, backend, true);
+  if (flow->scope == SCOPE_HOME)
+    widen (steering, flow, now);
+}
+
+/* The holder says itself whether it is one.  */
+void
+hs_steering_noted (struct hs_steering *steering,
+                   const struct hs_segment_key *key, uint64_t slot,
+                   uint64_t now)
+{
+  struct flow *flow = hs_flow_table_find (steering->flows, key);
+  const struct hs_backend *backend = hs_fleet_find (steering->fleet, slot);
+
+  if (flow == NULL || !flow->is_asked_for || flow->presumed == slot)
+    return;
+  if (backend == NULL || is_denied_by (flow, slot))
+    {
+      if (flow->scope == SCOPE_HOME)
+        widen (steering, flow, now);
+      return;
+    }
+  flow->presumed = slot;
+  steering->ops.release (steering->ctx, key, backend, true);
 }
 
 void
@@ -262,10 +332,14 @@
     {
       struct flow *flow = HS_LIST_ENTRY (link, struct flow, asking);
 
-      if (now - flow->asked_at < (uint64_t)ASK_AGAIN_MS << (flow->rounds - 1))
+      uint64_t wait_ms = flow->rounds > 0
+                             ? (uint64_t)ASK_AGAIN_MS << (flow->rounds - 1)
+                             : 0;
+
+      if (now - flow->asked_at < wait_ms)
         continue;
       if (flow->rounds < ASK_ROUNDS)
-        ask_again (steering, flow, now);
+        widen (steering, flow, now);
       else
         stop_asking (flow);
     }
@@ -300,12 +374,16 @@
   flow = get_flow (steering, &key, now);
   flow->service = hs_routing_pick (
       rule, hs_rank_score (flow->base.node.hash, segment->seq));
+  flow->work = rule->work;
   flow->slo_ms = rule->slo_ms;
   flow->priority = rule->priority;
   flow->syn_seq = segment->seq;
   flow->holder = 0;
   flow->tried_len = 0;
   flow->denied_len = 0;
+  flow->placed_at = now;
+  flow->noted = false;
+  flow->is_lost = false;
   stop_asking (flow);
   return place (steering, flow, now);
 }
@@ -331,6 +409,9 @@
 {
   const struct hs_backend *backend = NULL;
 
+  if (flow->tried_len == 0
+      && hs_link_refuses (steering->link, flow->work, flow->priority, now))
+    return link_full (steering, now);
   if (flow->tried_len == 0
       && hs_fleet_is_overloaded (steering->fleet, flow->service, flow->slo_ms,
                                  flow->priority, now))
@@ -378,10 +459,6 @@
 hold (struct hs_steering *steering, struct flow *flow,
       const struct hs_segment *segment, uint64_t now)
 {
-  const struct hs_routing_rule *rule
-      = steering->routing != NULL
-            ? hs_routing_find (steering->routing, &segment->to)
-            : NULL;
   struct hs_steer steer = without (HS_STEER_HOLD, HS_REASON_NONE);
 
   flow->caller_seq = segment->seq;
@@ -389,13 +466,14 @@
     flow->caller_ack = segment->ack;
   if (flow->is_asked_for)
     return steer;
-  /* The route may have been moved or dropped since the flow was opened.  */
-  flow->asked_service
-      = rule != NULL && rule->splits_len == 1 ? rule->splits[0].service : 0;
+  if (flow->is_lost && now - flow->lost_at < LOST_MS)
+    return without (HS_STEER_RESET, HS_REASON_WRONG_HOST);
+  set_asked_service (steering, flow);
   flow->holder = 0;
   flow->tried_len = 0;
   flow->denied_len = 0;
-  flow->asked_all = false;
+  flow->scope = SCOPE_HOME;
+  flow->presumed = 0;
   flow->rounds = 0;
   steer.asked = ask_round (steering, flow, now);
   if (steer.asked == 0)
@@ -405,48 +483,120 @@
   return steer;
 }
 
-/* Agents of the own availability zone hold most flows of its callers.  */
+/* Asks those of the narrowest scope in which anybody is left to ask, as far
+   as the link takes questions; returns how many there are.  */
 static size_t
 ask_round (struct hs_steering *steering, struct flow *flow, uint64_t now)
 {
-  size_t asked = ask (steering, flow, now);
+  const struct hs_backend *wanted[HS_STEER_ASKED_MAX];
+  size_t len = collect (steering, flow, wanted, now);
+  struct hs_segment segment = segment_of (flow);
 
-  flow->rounds++;
+  while (len == 0 && flow->scope != SCOPE_ALL)
+    {
+      flow->scope++;
+      len = collect (steering, flow, wanted, now);
+    }
   flow->asked_at = now;
-  if (asked > 0 || flow->asked_all)
-    return asked;
-  flow->asked_all = true;
-  return ask (steering, flow, now);
+  if (!hs_link_takes_questions (steering->link, len, now))
+    return len;
+  flow->rounds++;
+  for (size_t i = 0; i < len; i++)
+    steering->ops.ask (steering->ctx, wanted[i], &segment);
+  return len;
 }
 
-/* Asks those that have not denied it; returns how many.  */
+/* Those in scope that have not denied it.  */
 static size_t
-ask (struct hs_steering *steering, const struct flow *flow, uint64_t now)
+collect (struct hs_steering *steering, const struct flow *flow,
+         const struct hs_backend **wanted, uint64_t now)
 {
   const struct hs_backend *backends[HS_STEER_ASKED_MAX];
   size_t len = hs_fleet_of_service (steering->fleet, flow->asked_service,
                                     backends, HS_STEER_ASKED_MAX, now);
-  struct hs_segment segment = segment_of (flow);
-  size_t asked = 0;
+  const struct hs_backend *home = home_of (flow, backends, len);
+  size_t wanted_len = 0;
+
+  for (size_t i = 0; i < len; i++)
+    if (is_in_scope (flow->scope, backends[i], home)
+        && !is_denied_by (flow, backends[i]->report.slot))
+      wanted[wanted_len++] = backends[i];
+  return wanted_len;
+}
+
+/* Those asked do not know, or a question or its answer was lost.  */
+static void
+widen (struct hs_steering *steering, struct flow *flow, uint64_t now)
+{
+  if (flow->scope != SCOPE_ALL)
+    flow->scope++;
+  ask_round (steering, flow, now);
+}
+
+static void
+note (struct hs_steering *steering, struct flow *flow, uint64_t now)
+{
+  const struct hs_backend *backends[HS_STEER_ASKED_MAX];
+  const struct hs_backend *home;
+  size_t len;
+
+  flow->noted = true;
+  set_asked_service (steering, flow);
+  len = hs_fleet_of_service (steering->fleet, flow->asked_service, backends,
+                             HS_STEER_ASKED_MAX, now);
+  home = home_of (flow, backends, len);
+  if (home != NULL && home->report.slot != flow->holder)
+    steering->ops.note (steering->ctx, home, &flow->base.key, flow->holder);
+}
+
+/* The route may have been moved or dropped since the flow was opened.  */
+static void
+set_asked_service (const struct hs_steering *steering, struct flow *flow)
+{
+  const struct hs_routing_rule *rule
+      = steering->routing != NULL
+            ? hs_routing_find (steering->routing, &flow->base.key.address)
+            : NULL;
+
+  flow->asked_service
+      = rule != NULL && rule->splits_len == 1 ? rule->splits[0].service : 0;
+}
+
+/* The same at every entry that knows the same agents.  */
+static const struct hs_backend *
+home_of (const struct flow *flow, const struct hs_backend **backends,
+         size_t len)
+{
+  const struct hs_backend *home = NULL;
+  uint64_t best = 0;
 
   for (size_t i = 0; i < len; i++)
     {
-      if ((!flow->asked_all && !backends[i]->in_zone)
-          || is_denied_by (flow, backends[i]->report.slot))
+      uint64_t score
+          = hs_rank_score (flow->base.node.hash, backends[i]->report.slot);
+
+      if (home != NULL && score <= best)
         continue;
-      steering->ops.ask (steering->ctx, backends[i], &segment);
-      asked++;
+      home = backends[i];
+      best = score;
     }
-  return asked;
+  return home;
 }
 
-/* A question or its answer may have been lost, or the holder is in another
-   availability zone.  */
-static void
-ask_again (struct hs_steering *steering, struct flow *flow, uint64_t now)
+static bool
+is_in_scope (enum scope scope, const struct hs_backend *backend,
+             const struct hs_backend *home)
 {
-  flow->asked_all = true;
-  ask_round (steering, flow, now);
+  switch (scope)
+    {
+    case SCOPE_HOME:
+      return backend == home;
+    case SCOPE_ZONE:
+      return backend->in_zone;
+    case SCOPE_ALL:
+      break;
+    }
+  return true;
 }
 
 static void
@@ -492,9 +642,11 @@
   struct hs_segment segment = segment_of (flow);
 
   if (flow->denied_len == 0 || flow->holder != 0 || flow->tried_len > 0
-      || !is_denied_by_all (steering, flow, false, now))
+      || !is_denied_by_all (steering, flow, SCOPE_ALL, now))
     return;
   flow->denied_len = 0;
+  flow->is_lost = true;
+  flow->lost_at = now;
   stop_asking (flow);
   steering->ops.reset (steering->ctx, &segment);
 }
@@ -508,18 +660,19 @@
   return false;
 }
 
-/* IN_ZONE: by all of the own availability zone.  An agent that is not heard
-   of at present may hold the flow.  */
+/* By all in SCOPE.  An agent that is not heard of at present may hold the
+   flow.  */
 static bool
 is_denied_by_all (const struct hs_steering *steering, const struct flow *flow,
-                  bool in_zone, uint64_t now)
+                  enum scope scope, uint64_t now)
 {
   const struct hs_backend *backends[HS_STEER_ASKED_MAX];
   size_t len = hs_fleet_of_service (steering->fleet, flow->asked_service,
                                     backends, HS_STEER_ASKED_MAX, now);
+  const struct hs_backend *home = home_of (flow, backends, len);
 
   for (size_t i = 0; i < len; i++)
-    if ((backends[i]->in_zone || !in_zone)
+    if (is_in_scope (scope, backends[i], home)
         && !is_denied_by (flow, backends[i]->report.slot))
       return false;
   return len > 0 && len < HS_STEER_ASKED_MAX;
@@ -551,6 +704,15 @@
   return steer;
 }
 
+static struct hs_steer
+link_full (const struct hs_steering *steering, uint64_t now)
+{
+  struct hs_steer steer = without (HS_STEER_RESET, HS_REASON_OVERLOADED);
+
+  steer.link_ms = hs_link_queue_ms (steering->link, now);
+  return steer;
+}
+
 static struct flow *
 get_flow (struct hs_steering *steering, const struct hs_segment_key *key,
           uint64_t now)
--- a/src/wire/inner.h
+++ b/src/wire/inner.h
@@ -20,7 +20,8 @@
   HS_INNER_NONE,    /* Not a message.  */
   HS_INNER_FORWARD, /* Entry to agent: a caller's segment.  */
   HS_INNER_REFUSED, /* Agent to entry: a SYN that has not run.  */
-  HS_INNER_HELD,    /* Agent to entry: whether it holds a flow.  */
+  HS_INNER_HELD,    /* Agent to entry: whether it holds a flow.  Entry to the
+                       flow's home: who does.  */
   HS_INNER_REPORT,  /* Agent to entry: its load.  */
   HS_INNER_SYNC,    /* Entry or agent to control: it is there.  */
   HS_INNER_STATUS,  /* The answer to it.  */
