Take an upstream that gives back SYNs for absent

Ruled out: slots (the other three were at 5 to 12 of 7), the wait that refuses (no flow-refused until the kill).

Change: the agent takes its upstream for absent once a SYN has come back, until a heartbeat or any other segment of it comes. One that holds as many flows as it can goes on to answer those it has. Test: segment/crashed-upstream, red before.

--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -104,6 +104,8 @@
   uint32_t only_resets;      /* Of it, while it has sent nothing else.  */
   bool speaks;               /* It has sent something else.  */
   uint64_t unanswered_since; /* ms of the first SYN since then; 0: none.  */
+  bool returns_syns;         /* The latest SYN came back, and nothing else has
+                                been heard of the upstream since.  */
   uint32_t busy;             /* Requests in progress.  */
   uint32_t open;             /* Flows.  */
   uint32_t work_us;          /* Mean time of a request in a slot.  */
@@ -211,6 +213,7 @@
     return true;
   sidecar->last = *heartbeat;
   sidecar->heard_at = now;
+  sidecar->returns_syns = false;
   sidecar->cold_until = now + heartbeat->cold_ms;
   if (sidecar->state != HS_UPSTREAM_GONE)
     sidecar->state = heartbeat->state;
@@ -306,6 +309,8 @@
   sidecar->unanswered_since = 0;
   if ((segment->flags & HS_SEGMENT_RETURNED) != 0)
     return take_returned (sidecar, segment, now);
+  if ((segment->flags & HS_SEGMENT_RST) == 0)
+    sidecar->returns_syns = false;
   flow = hs_flow_table_find (sidecar->flows, &key);
   if (flow == NULL && sidecar->learn_until == 0)
     return answer;
@@ -359,7 +364,7 @@
 {
   report->service = sidecar->service;
   report->state = HS_BACKEND_ABSENT;
-  if (sidecar->state == HS_UPSTREAM_READY)
+  if (sidecar->state == HS_UPSTREAM_READY && !sidecar->returns_syns)
     report->state = HS_BACKEND_READY;
   if (sidecar->state == HS_UPSTREAM_DRAINING
       || (sidecar->leaving && sidecar->state == HS_UPSTREAM_READY))
@@ -394,7 +399,7 @@
   if (sidecar->leaving || sidecar->state == HS_UPSTREAM_DRAINING
       || sidecar->state == HS_UPSTREAM_GONE)
     return step (HS_SIDECAR_REFUSE, HS_REASON_LEAVING);
-  if (sidecar->state == HS_UPSTREAM_UNKNOWN)
+  if (sidecar->state == HS_UPSTREAM_UNKNOWN || sidecar->returns_syns)
     return step (HS_SIDECAR_REFUSE, HS_REASON_NO_UPSTREAM);
   flow = get_flow (sidecar, &key, now);
   if (flow->syn_seq != segment->seq || flow->state != FLOW_OPEN)
@@ -478,6 +483,8 @@
     return step (HS_SIDECAR_DROP, HS_REASON_WRONG_HOST);
   if (hs_segment_opens (segment))
     {
+      /* One that holds as many flows as it can goes on to answer them.  */
+      sidecar->returns_syns = true;
       refuse.entry = flow->entry;
       hs_flow_table_remove (sidecar->flows, &flow->base);
       return refuse;
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -1158,6 +1158,41 @@
   talloc_free (root);
 }
 
+/* The host of an upstream that has crashed gives back its SYNs; idle as it
+   looks, it would be offered each new flow until its heartbeats are missed. */
+static void
+test_crashed_upstream_absent (void)
+{
+  void *root = talloc_new (NULL);
+  struct lost lost = { 0 };
+  struct hs_sidecar *sidecar = sidecar_create (root, &lost, 1000);
+  struct hs_segment syn = segment_of (HS_SEGMENT_SYN, 9, 100, 0, 0);
+  struct hs_segment open
+      = answer_to (&syn, HS_SEGMENT_SYN | HS_SEGMENT_ACK, 500, 0);
+  struct hs_segment back = syn;
+  struct hs_sidecar_step step;
+
+  beat (sidecar, HS_UPSTREAM_READY, 2000, 1, 0);
+  from_entry (sidecar, &syn, false, 0);
+  back.flags |= HS_SEGMENT_RETURNED;
+  step = hs_sidecar_from_upstream (sidecar, &back, 1);
+  g_assert_cmpint (step.reason, ==, HS_REASON_SHED);
+  g_assert_cmpint (load_of (sidecar).state, ==, HS_BACKEND_ABSENT);
+  step = from_entry (sidecar, &syn, false, 2);
+  g_assert_cmpint (step.action, ==, HS_SIDECAR_REFUSE);
+  g_assert_cmpint (step.reason, ==, HS_REASON_NO_UPSTREAM);
+  /* It is back.  */
+  beat (sidecar, HS_UPSTREAM_READY, 3000, 1, 100);
+  g_assert_cmpint (load_of (sidecar).state, ==, HS_BACKEND_READY);
+  /* One that is only full for a moment answers other flows.  */
+  from_entry (sidecar, &syn, false, 101);
+  hs_sidecar_from_upstream (sidecar, &back, 102);
+  g_assert_cmpint (load_of (sidecar).state, ==, HS_BACKEND_ABSENT);
+  hs_sidecar_from_upstream (sidecar, &open, 103);
+  g_assert_cmpint (load_of (sidecar).state, ==, HS_BACKEND_READY);
+  talloc_free (root);
+}
+
 /* An agent that starts beside an upstream that was there before.  */
 static void
 test_flows_learned_after_a_restart (void)
@@ -1546,6 +1581,7 @@
   g_test_add_func ("/segment/other-writers", test_other_writers_refused);
   g_test_add_func ("/segment/wrong-service", test_wrong_service_refused);
   g_test_add_func ("/segment/returned-syn", test_returned_syn_goes_back);
+  g_test_add_func ("/segment/crashed-upstream", test_crashed_upstream_absent);
   g_test_add_func ("/segment/restart-learns",
                    test_flows_learned_after_a_restart);
   g_test_add_func ("/segment/started-together", test_started_together);
