Reset lost flows sooner after a restart of all hosts

Cause: after a closing loss of power entries reset flows that nobody holds only 2 s after their start, when all agents are sure to have reported.

Ruled out: resetting without waiting (an agent that is still unheard of may hold the flow); a count of agents from the control hosts (they have lost theirs, too).

Change: where all agents that have reported started at most a second before the entry, or later, hosts were restarted together, and 0.8 s are enough: all had reported within 0.7 s of the start. Otherwise 2 s, as before. Test: segment/started-since.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -872,6 +872,9 @@
                             const struct hs_backend **backends, size_t max,
                             uint64_t now); /* Those that may hold a flow; 0: of
                                               every service.  */
+bool hs_fleet_started_since (const struct hs_fleet *fleet,
+                             uint64_t wall_ms); /* All agents, of which there
+                                                   are some.  */
 void hs_fleet_expire (struct hs_fleet *fleet, uint64_t now);
 
 /* Link: how full the link of an entry's host is, by its own count.  */
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -23,6 +23,11 @@
    control hosts by both, and a report.  */
 #define COMPLETE_MS 2000
 
+/* The same after a restart of all hosts, when all agents of today's sites
+   have reported within 0.7 s, and how far their starts may be apart.  */
+#define COMPLETE_RESTARTED_MS 800
+#define RESTARTED_APART_MS 1000
+
 /* The same, for the first of them.  */
 #define SETTLE_MS 300
 
@@ -67,6 +72,7 @@
   uint8_t *plain;             /* The same, as it came, uncompressed.  */
   size_t plain_len;
   uint64_t started_at;      /* ms  */
+  uint64_t started_wall;    /* The same, of the wall clock.  */
   uint64_t last_segment_at; /* ms  */
   uint64_t draining_since;  /* ms; 0: not draining  */
   uint64_t expired_at;      /* ms  */
@@ -126,6 +132,7 @@
 static void log_load (struct hs_segment_entry *entry, const char *event,
                       const char *caller, const char *address,
                       const struct hs_backend *backend, uint64_t now);
+static bool is_complete (const struct hs_segment_entry *entry, uint64_t now);
 static json_int_t version_of (const struct hs_segment_entry *entry);
 static void update_ready (struct hs_segment_entry *entry, uint64_t now);
 
@@ -152,6 +159,7 @@
   entry->settings = *settings;
   entry->log = log;
   entry->started_at = hs_clock_now ();
+  entry->started_wall = hs_clock_wall ();
   create_counters (entry);
   entry->segments_fd = hs_socket_bind (&settings->segments, error);
   if (entry->segments_fd >= 0)
@@ -486,8 +494,7 @@
   hs_held_packets_expire (entry->held, now);
   hs_fleet_expire (entry->fleet, now);
   hs_counter_set (entry->counts.flows, hs_steering_flows (entry->steering));
-  hs_steering_set_complete (entry->steering,
-                            now - entry->started_at >= COMPLETE_MS, now);
+  hs_steering_set_complete (entry->steering, is_complete (entry, now), now);
   update_ready (entry, now);
   if (entry->draining_since == 0 || now - entry->draining_since < DRAIN_MIN_MS)
     return;
@@ -640,6 +647,20 @@
       (json_int_t)(now - backend->heard_at), "in_zone", backend->in_zone);
 }
 
+/* Whether every agent that lives has reported.  Where all that have started
+   with this entry, hosts have lost power or been killed together, and callers
+   wait for their flows to be reset.  */
+static bool
+is_complete (const struct hs_segment_entry *entry, uint64_t now)
+{
+  uint64_t up_ms = now - entry->started_at;
+
+  return up_ms >= COMPLETE_MS
+         || (up_ms >= COMPLETE_RESTARTED_MS
+             && hs_fleet_started_since (
+                 entry->fleet, entry->started_wall - RESTARTED_APART_MS));
+}
+
 static json_int_t
 version_of (const struct hs_segment_entry *entry)
 {
--- a/src/segment/fleet.c
+++ b/src/segment/fleet.c
@@ -204,6 +204,17 @@
   return len;
 }
 
+/* Incarnations are wall-clock times of starts.  */
+bool
+hs_fleet_started_since (const struct hs_fleet *fleet, uint64_t wall_ms)
+{
+  HS_LIST_FOREACH (link, &fleet->backends)
+    if (HS_LIST_ENTRY (link, struct hs_backend, link)->report.incarnation
+        < wall_ms)
+      return false;
+  return !hs_list_is_empty (&fleet->backends);
+}
+
 void
 hs_fleet_expire (struct hs_fleet *fleet, uint64_t now)
 {
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -533,6 +533,24 @@
   talloc_free (entry.root);
 }
 
+/* Agents of the test have the incarnation 1.  */
+static void
+test_started_since (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_fleet *empty = hs_fleet_create (entry.root, "a");
+  struct hs_load_report old
+      = hs_fleet_find (entry.fleet, hs_slot_from_name ("y"))->report;
+
+  g_assert_true (hs_fleet_started_since (entry.fleet, 1));
+  g_assert_false (hs_fleet_started_since (entry.fleet, 2));
+  g_assert_false (hs_fleet_started_since (empty, 0));
+  old.incarnation = 0;
+  hs_fleet_report (entry.fleet, &old, 1);
+  g_assert_false (hs_fleet_started_since (entry.fleet, 1));
+  talloc_free (entry.root);
+}
+
 static void
 test_late_report_passed_over (void)
 {
@@ -1553,6 +1571,7 @@
   g_test_add_func ("/segment/placing-spreads",
                    test_placing_spreads_between_reports);
   g_test_add_func ("/segment/placing-unfit", test_placing_skips_unfit);
+  g_test_add_func ("/segment/started-since", test_started_since);
   g_test_add_func ("/segment/late-report", test_late_report_passed_over);
   g_test_add_func ("/segment/flow-stays", test_flow_stays);
   g_test_add_func ("/segment/doubted-syn", test_doubted_syn_goes_elsewhere);
