--- a/src/entry/held_packets.c
+++ b/src/entry/held_packets.c
@@ -1,5 +1,4 @@
-/* held_packets.c -- segments that wait until it is known who holds their
-   flow.  */
+/* held_packets.c -- segments that wait until it is known where they go.  */
 
 #include "entry/held_packets.h"
 
@@ -78,6 +77,22 @@
     }
 }
 
+void
+hs_held_packets_take (struct hs_held_packets *held, hs_held_fn *fn, void *ctx)
+{
+  size_t len = held->len;
+
+  for (size_t i = 0; i < len; i++)
+    {
+      struct held *packet
+          = HS_LIST_ENTRY (hs_list_pop (&held->list), struct held, link);
+
+      held->len--;
+      fn (ctx, packet->data, packet->len);
+      talloc_free (packet);
+    }
+}
+
 void
 hs_held_packets_drop (struct hs_held_packets *held,
                       const struct hs_segment_key *key)
--- a/src/entry/held_packets.h
+++ b/src/entry/held_packets.h
@@ -1,5 +1,4 @@
-/* held_packets.h -- segments that wait until it is known who holds their
-   flow.
+/* held_packets.h -- segments that wait until it is known where they go.
 
    Bounded: what does not fit is dropped, and sent again by its caller.  */
 
@@ -24,6 +23,8 @@
 void hs_held_packets_each (const struct hs_held_packets *held,
                            const struct hs_segment_key *key, hs_held_fn *fn,
                            void *ctx); /* Those of a flow, in order.  */
+void hs_held_packets_take (struct hs_held_packets *held, hs_held_fn *fn,
+                           void *ctx); /* All, in order; FN may add.  */
 void hs_held_packets_drop (struct hs_held_packets *held,
                            const struct hs_segment_key *key);
 void hs_held_packets_expire (struct hs_held_packets *held, uint64_t now);
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -31,6 +31,10 @@
 /* The same, for the first of them.  */
 #define SETTLE_MS 300
 
+/* After a start, how long SYNs wait for a configuration and an agent: callers
+   give up after 1.4 s.  */
+#define EARLY_MS 1000
+
 /* A stop waits until callers' segments have ceased for this long, ...  */
 #define DRAIN_QUIET_MS 700
 
@@ -68,8 +72,9 @@
   struct hs_link *link;
   struct hs_steering *steering;
   struct hs_held_packets *held;
-  struct hs_routing *routing; /* In force; NULL: none yet.  */
-  uint8_t *plain;             /* The same, as it came, uncompressed.  */
+  struct hs_held_packets *early; /* SYNs that cannot be placed yet.  */
+  struct hs_routing *routing;    /* In force; NULL: none yet.  */
+  uint8_t *plain;                /* The same, as it came, uncompressed.  */
   size_t plain_len;
   uint64_t started_at;      /* ms  */
   uint64_t started_wall;    /* The same, of the wall clock.  */
@@ -90,6 +95,8 @@
 
 static void create_counters (struct hs_segment_entry *entry);
 static void on_packet (void *ctx, struct hs_packet *packet, uint64_t now);
+static void take_segment (struct hs_segment_entry *entry,
+                          struct hs_packet *packet, uint64_t now);
 static void on_inner (void *ctx, struct hs_packet *packet,
                       const struct hs_inner *inner, uint64_t now);
 static void on_refused (struct hs_segment_entry *entry,
@@ -121,9 +128,10 @@
                        const struct hs_steer *steer, uint64_t now);
 static void forward (struct hs_segment_entry *entry, struct hs_packet *packet,
                      const struct hs_steer *steer, uint64_t now);
-static void hold (struct hs_segment_entry *entry,
+static void keep (struct hs_held_packets *held, struct hs_segment_entry *entry,
                   const struct hs_packet *packet,
                   const struct hs_segment *segment, uint64_t now);
+static void place_early (void *ctx, const uint8_t *data, size_t len);
 static void reset (struct hs_segment_entry *entry, struct hs_packet *packet,
                    const struct hs_segment *segment);
 static void log_steer (struct hs_segment_entry *entry,
@@ -178,6 +186,7 @@
   entry->steering = hs_steering_create (
       entry->front->path->decide, entry->fleet, entry->link, &steering, entry);
   entry->held = hs_held_packets_create (entry->front->path->decide);
+  entry->early = hs_held_packets_create (entry->front->path->decide);
   hs_receiver_watch (entry->front->path->receiver, entry->segments_fd,
                      TAG_SEGMENTS);
   return entry;
@@ -252,12 +261,20 @@
 on_packet (void *ctx, struct hs_packet *packet, uint64_t now)
 {
   struct hs_segment_entry *entry = ctx;
+
+  entry->last_segment_at = now;
+  hs_link_note (entry->link, HS_LINK_IN, packet->len, now);
+  take_segment (entry, packet, now);
+}
+
+static void
+take_segment (struct hs_segment_entry *entry, struct hs_packet *packet,
+              uint64_t now)
+{
   const struct hs_dialect *dialect = entry->settings.dialect;
   struct hs_segment segment;
   struct hs_steer steer;
 
-  entry->last_segment_at = now;
-  hs_link_note (entry->link, HS_LINK_IN, packet->len, now);
   if (!dialect->decode_segment (dialect->ctx, hs_packet_bytes (packet),
                                 packet->len, &segment))
     {
@@ -492,6 +509,7 @@
 
   hs_steering_tick (entry->steering, now);
   hs_held_packets_expire (entry->held, now);
+  hs_held_packets_take (entry->early, place_early, entry);
   hs_fleet_expire (entry->fleet, now);
   hs_counter_set (entry->counts.flows, hs_steering_flows (entry->steering));
   hs_steering_set_complete (entry->steering, is_complete (entry, now), now);
@@ -521,6 +539,12 @@
            uint64_t now)
 {
   packet->fd = -1;
+  if (steer->kind == HS_STEER_DROP && hs_segment_opens (segment)
+      && now - entry->started_at < EARLY_MS)
+    {
+      keep (entry->early, entry, packet, segment, now);
+      return;
+    }
   log_steer (entry, segment, steer, now);
   switch (steer->kind)
     {
@@ -528,7 +552,7 @@
       forward (entry, packet, steer, now);
       break;
     case HS_STEER_HOLD:
-      hold (entry, packet, segment, now);
+      keep (entry->held, entry, packet, segment, now);
       break;
     case HS_STEER_RESET:
       reset (entry, packet, segment);
@@ -573,16 +597,31 @@
 }
 
 static void
-hold (struct hs_segment_entry *entry, const struct hs_packet *packet,
-      const struct hs_segment *segment, uint64_t now)
+keep (struct hs_held_packets *held, struct hs_segment_entry *entry,
+      const struct hs_packet *packet, const struct hs_segment *segment,
+      uint64_t now)
 {
   struct hs_segment_key key = hs_segment_key (segment, true);
 
-  if (!hs_held_packets_add (entry->held, &key, packet->data + packet->start,
+  if (!hs_held_packets_add (held, &key, packet->data + packet->start,
                             packet->len, now))
     hs_counter_add (entry->counts.dropped, 1);
 }
 
+/* As if the SYN came now.  */
+static void
+place_early (void *ctx, const uint8_t *data, size_t len)
+{
+  struct hs_segment_entry *entry = ctx;
+  struct hs_packet *packet = hs_outbox_add (entry->front->outbox);
+
+  if (packet == NULL)
+    return;
+  memcpy (hs_packet_bytes (packet), data, len);
+  packet->len = (uint16_t)len;
+  take_segment (entry, packet, hs_clock_now ());
+}
+
 static void
 reset (struct hs_segment_entry *entry, struct hs_packet *packet,
        const struct hs_segment *segment)
