--- a/src/segment/link.c
+++ b/src/segment/link.c
@@ -26,9 +26,9 @@
 #define QUESTION_SIZE 80 /* Bytes, with headers.  */
 #define QUESTIONS_AT_ONCE 256
 
-/* Queue from which on a new upload is refused: two windows of other uploads;
-   and from which on a flow of low priority is: half of the shortest latency
-   objective.  */
+/* Queue from which on a new upload is refused: two windows of other uploads
+   at 6.9 Mbit/s; and from which on a flow of low priority is: half of a
+   latency objective of 300 ms.  */
 #define UPLOAD_QUEUE_MS 70
 #define FLOW_QUEUE_MS 150
 #define PRIORITY_LOW 2
