--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -96,6 +96,9 @@
 void hs_addr_format (const struct hs_addr *addr, char *text);
 bool hs_addr_equal (const struct hs_addr *a, const struct hs_addr *b);
 
+/* Returns a hash that is the same in every process.  */
+uint64_t hs_addr_hash (const struct hs_addr *addr);
+
 /* Names of services, members, changes and operators.  */
 
 #define HS_NAME_SIZE 64 /* Bytes of a name, with NUL.  */
@@ -1020,15 +1023,19 @@
    placement of new flows on them.
 
    A pointer to a pool agent is owned by the pool and valid until the next call
-   of hs_agent_pool_expire or hs_agent_pool_destroy.  */
+   of hs_agent_pool_expire, hs_agent_pool_remove or hs_agent_pool_destroy.  */
 
-#define HS_REPORT_INTERVAL_MS 200 /* Between load reports of an agent.  */
+/* Time without an answer to a load query after which an agent gets no new
+   flows.  */
+#define HS_ANSWER_TIMEOUT_MS 250
 
-/* Silence after which an agent gets no new flows: three reports lost.  */
+/* The same, after which an agent whose upstream was silent before no longer
+   counts as a possible owner of a flow.  */
 #define HS_REPORT_TIMEOUT_MS 700
 
-/* Silence after which an agent is removed from the pool, and no longer counts
-   as a possible owner of a flow: longer than an agent takes to restart.  */
+/* The same, after which an agent is removed from the pool, and no longer
+   counts as a possible owner of a flow: longer than an agent takes to restart.
+ */
 #define HS_POOL_AGENT_EXPIRY_MS 5500
 
 enum hs_agent_state
@@ -1066,6 +1073,8 @@
   struct hs_list lru_link;
   struct hs_load_report report; /* The latest.  */
   uint64_t last_heard_at;       /* ms, when the report came.  */
+  uint64_t unanswered_since;    /* ms, of the first load query since then; 0:
+                                   none.  */
   uint32_t placed_flows;        /* Flows placed here since the report.  */
   bool is_same_zone;            /* In the entry's availability zone.  */
 };
@@ -1082,6 +1091,14 @@
 bool hs_agent_pool_update (struct hs_agent_pool *pool,
                            const struct hs_load_report *report, uint64_t now);
 
+/* Records that the agent has been sent a load query.  An unknown agent is
+   ignored.  */
+void hs_agent_pool_mark_queried (struct hs_agent_pool *pool, uint64_t agent_id,
+                                 uint64_t now);
+
+/* Removes an agent that is known to be gone.  An unknown agent is ignored.  */
+void hs_agent_pool_remove (struct hs_agent_pool *pool, uint64_t agent_id);
+
 /* Overrides the state of an agent until its next report.  An unknown agent is
    ignored.  */
 void hs_agent_pool_set_state (struct hs_agent_pool *pool, uint64_t agent_id,
@@ -1091,8 +1108,8 @@
 const struct hs_pool_agent *
 hs_agent_pool_find (const struct hs_agent_pool *pool, uint64_t agent_id);
 
-/* Returns whether AGENT is ready and has reported within
-   HS_REPORT_TIMEOUT_MS.  */
+/* Returns whether AGENT is ready and has left no load query unanswered for
+   HS_ANSWER_TIMEOUT_MS.  */
 bool hs_pool_agent_accepts_flows (const struct hs_pool_agent *agent,
                                   uint64_t now);
 
@@ -1133,39 +1150,140 @@
 bool hs_agent_pool_all_started_since (const struct hs_agent_pool *pool,
                                       uint64_t wall_ms);
 
-/* Removes the agents that have been silent for longer than
+/* Removes the agents that have left load queries unanswered for longer than
    HS_POOL_AGENT_EXPIRY_MS.  */
 void hs_agent_pool_expire (struct hs_agent_pool *pool, uint64_t now);
 
-/* Uplink: the network link of an entry's host.  The queue on it is estimated
-   from the datagrams that the entry itself receives and sends.  */
+/* Load poller: decides which agents an entry asks for their load, and when.
+   The cost grows with the new flows of the entry, not with the number of
+   agents.  */
+
+#define HS_LOAD_POLLER_TICK_MS 50
+
+struct hs_load_poller_ops
+{
+  /* Send a load query to the agent at ADDRESS.  */
+  void (*query_load) (void *ctx, const struct hs_addr *address);
+};
+
+struct hs_load_poller;
+
+/* ZONE: the entry's availability zone.  POOL is borrowed and must outlive the
+   poller.  OPS is copied, and CTX is passed to its callbacks.  */
+struct hs_load_poller *
+hs_load_poller_create (void *parent, const char *zone,
+                       struct hs_agent_pool *pool,
+                       const struct hs_load_poller_ops *ops, void *ctx);
+void hs_load_poller_destroy (struct hs_load_poller *poller);
+
+/* Replaces the list of agents.  An agent that is no longer listed is removed
+   from the pool as well.  */
+void hs_load_poller_set_agents (struct hs_load_poller *poller,
+                                const struct hs_addr *addresses, size_t len);
+
+/* Call this for each load report, before hs_agent_pool_update.  Returns false
+   if no agent is listed at its address: the report is to be ignored.  */
+bool hs_load_poller_handle_report (struct hs_load_poller *poller,
+                                   const struct hs_load_report *report);
+
+/* Call this for each SYN of the service: its next flows need fresh loads.  */
+void hs_load_poller_handle_syn (struct hs_load_poller *poller,
+                                uint64_t service_id, uint64_t now);
+
+/* Call this every HS_LOAD_POLLER_TICK_MS.  */
+void hs_load_poller_tick (struct hs_load_poller *poller, uint64_t now);
+
+/* Egress queue: the datagrams that wait at an entry until its uplink, the
+   network link of its host, can carry them.  */
 
-enum hs_uplink_direction
+#define HS_EGRESS_QUEUE_MAX 256 /* Datagrams of a class.  */
+
+/* Datagrams of a class are sent in order, and before those of the classes
+   after it.  */
+enum hs_egress_class
+{
+  HS_EGRESS_SHORT, /* Short requests, and the SYNs of all flows.  */
+  HS_EGRESS_BULK,  /* Other segments of uploads.  */
+  HS_EGRESS_CLASSES
+};
+
+struct hs_egress_ops
 {
-  HS_UPLINK_IN,
-  HS_UPLINK_OUT,
-  HS_UPLINK_DIRECTIONS
+  /* Send a queued datagram, DATA, to TO.  */
+  void (*send) (void *ctx, const struct hs_addr *to, const uint8_t *data,
+                size_t len);
 };
 
+struct hs_egress;
+
+/* MBIT_PER_S: rate of the uplink; 0: no limit, so that nothing is queued.  OPS
+   is copied, and CTX is passed to its callbacks.  */
+struct hs_egress *hs_egress_create (void *parent, double mbit_per_s,
+                                    const struct hs_egress_ops *ops,
+                                    void *ctx);
+void hs_egress_destroy (struct hs_egress *egress);
+
+/* Returns the class of SEGMENT, which a caller sent.  ROUTING may be NULL.  */
+enum hs_egress_class hs_egress_class_of (const struct hs_routing *routing,
+                                         const struct hs_segment *segment);
+
+/* Returns a tag that SEGMENT shares with its retransmissions; 0: it has no
+   payload.  */
+uint64_t hs_egress_tag_of (const struct hs_segment *segment);
+
+/* Counts a datagram with LEN bytes of UDP payload that is sent without
+   waiting.  */
+void hs_egress_count (struct hs_egress *egress, size_t len, uint64_t now);
+
+/* Returns whether a datagram of LEN bytes may be sent at once, and if so,
+   counts it.  Otherwise it is to be queued.  */
+bool hs_egress_take (struct hs_egress *egress, enum hs_egress_class class,
+                     size_t len, uint64_t now);
+
+/* Queues a copy of DATA.  If a datagram to TO of the same TAG, other than 0,
+   and length is queued, as when a caller has sent a segment again, the copy
+   takes its place.  Returns false if the queue of the class is full.  */
+bool hs_egress_queue (struct hs_egress *egress, enum hs_egress_class class,
+                      uint64_t tag, const struct hs_addr *to,
+                      const uint8_t *data, size_t len);
+
+/* Sends the queued datagrams that the uplink can take by now.  */
+void hs_egress_flush (struct hs_egress *egress, uint64_t now);
+
+/* Returns when to call hs_egress_flush next, ms; UINT64_MAX: nothing is
+   queued.  */
+uint64_t hs_egress_flush_at (const struct hs_egress *egress);
+
+/* Returns the time that a new datagram of CLASS would wait, ms.  */
+uint64_t hs_egress_wait_ms (struct hs_egress *egress,
+                            enum hs_egress_class class, uint64_t now);
+
+/* Uplink: refuses new flows before the network link of an entry's host is
+   full.  */
+
 struct hs_uplink;
 
-/* MBIT_PER_S: rate of the uplink in each direction; 0: no limit.  */
-struct hs_uplink *hs_uplink_create (void *parent, double mbit_per_s);
+/* MBIT_PER_S: rate of the uplink in each direction; 0: no limit.  EGRESS is
+   borrowed and must outlive the uplink.  */
+struct hs_uplink *hs_uplink_create (void *parent, double mbit_per_s,
+                                    struct hs_egress *egress);
 void hs_uplink_destroy (struct hs_uplink *uplink);
 
-/* Counts a datagram with LEN bytes of UDP payload.  */
-void hs_uplink_count (struct hs_uplink *uplink,
-                      enum hs_uplink_direction direction, size_t len,
-                      uint64_t now);
+/* Counts a datagram received with LEN bytes of UDP payload.  */
+void hs_uplink_count_received (struct hs_uplink *uplink, size_t len,
+                               uint64_t now);
 
-/* Returns the delay in the queue of the fuller direction, ms.  */
-uint64_t hs_uplink_queue_ms (struct hs_uplink *uplink, uint64_t now);
+/* Returns the time that a datagram of CLASS waits for the fuller direction,
+   ms.  */
+uint64_t hs_uplink_wait_ms (struct hs_uplink *uplink,
+                            enum hs_egress_class class, uint64_t now);
 
-/* Returns whether a new flow is to be refused, since the queue is too long for
-   its request class and priority (0: the highest).  */
+/* Returns whether a new flow is to be refused, since the wait for the uplink
+   is too long for its latency objective SLO_MS (0: none), its request class
+   and its priority (0: the highest).  */
 bool hs_uplink_refuses_flow (struct hs_uplink *uplink,
                              enum hs_request_class request_class,
-                             uint32_t priority, uint64_t now);
+                             uint32_t slo_ms, uint32_t priority, uint64_t now);
 
 /* Takes LEN tokens, one for each lookup query.  If any token is left, all LEN
    are taken, and the number left may become negative.  Returns false, and
--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -4,6 +4,7 @@
    executes the decisions of src/segment), sender, two HTTP servers, log.  */
 
 #include "agent/segment_agent.h"
+#include "agent/load_queriers.h"
 #include "base/auto.h"
 #include "daemon/segment_node.h"
 
@@ -25,8 +26,8 @@
 /* Responses that take at least this long are logged.  */
 #define SLOW_RESPONSE_MS 500
 
-/* Time for the entries to stop placing flows on this agent: one interval of
-   the load reports plus the transit of a report.  */
+/* Time for the entries to stop placing flows on this agent, and for SYNs on
+   their way to arrive and be returned.  */
 #define DRAIN_DURATION_MS 300
 
 /* An HTTP call of the upstream, handed from the server's thread to the
@@ -71,10 +72,11 @@
   /* Used by the decision worker only.  */
   struct hs_sidecar *sidecar;
   struct hs_directory *directory;
+  struct hs_load_queriers *load_queriers;
   uint64_t report_seq;
-  uint64_t next_report_at;            /* ms  */
   uint64_t drain_ends_at;             /* ms; 0: not draining  */
-  enum hs_agent_state reported_state; /* In the last load report.  */
+  enum hs_agent_state reported_state; /* The last of which the entries were
+                                         notified.  */
 };
 
 /* Private functions.  */
@@ -95,7 +97,7 @@
                               const struct hs_inner *message, uint64_t now);
 static bool on_configuration (void *ctx, uint64_t base_version,
                               const uint8_t *bytes, size_t len);
-static void on_entries_added (void *ctx);
+static void on_agents_changed (void *ctx);
 static void on_tick (void *ctx, uint64_t now);
 static void on_drain (void *ctx, uint64_t now);
 static void execute_decision (struct hs_segment_agent *agent,
@@ -121,7 +123,8 @@
 static void log_decision (struct hs_segment_agent *agent,
                           const struct hs_segment *segment,
                           const struct hs_sidecar_decision *decision);
-static void send_load_reports (struct hs_segment_agent *agent, uint64_t now);
+static void notify_entries (struct hs_segment_agent *agent);
+static void send_load_report (void *ctx, const struct hs_addr *entry);
 
 /* Public definitions.  */
 
@@ -240,7 +243,7 @@
           .adapter = settings->adapter };
   struct hs_segment_node_ops node_ops
       = { on_upstream_packet, on_inner_message, on_configuration,
-          on_entries_added,   on_tick,          on_drain };
+          on_agents_changed,  on_tick,          on_drain };
   struct hs_sidecar_ops sidecar_ops = { on_flow_lost };
   struct hs_worker *worker;
 
@@ -254,6 +257,7 @@
       worker, settings->service_name, &settings->upstream_address,
       settings->heartbeat_ms, hs_clock_wall (), &sidecar_ops, agent);
   agent->directory = hs_directory_create (worker);
+  agent->load_queriers = hs_load_queriers_create (worker);
   hs_worker_watch_ring (worker, agent->calls, on_call, agent);
   hs_receiver_watch (agent->node->datapath->receiver, agent->outbound_fd,
                      TAG_OUTBOUND);
@@ -338,7 +342,7 @@
                 "upstream", call->id);
   hs_http_respond (call->request, STATUS_OK, "application/json", "{}");
   talloc_free (call);
-  send_load_reports (agent, hs_clock_monotonic ());
+  notify_entries (agent);
 }
 
 static void
@@ -367,7 +371,7 @@
                     hs_agent_state_name (load.state), "born",
                     (json_int_t)call->heartbeat.started_at, "seq",
                     (json_int_t)call->heartbeat.seq, "slots", (int)load.slots);
-      send_load_reports (agent, now);
+      notify_entries (agent);
     }
   hs_http_respond (call->request, STATUS_OK, "application/json", "{}");
   talloc_free (call);
@@ -406,6 +410,11 @@
   struct hs_segment segment;
   struct hs_sidecar_decision decision;
 
+  if (message->type == HS_INNER_LOAD_QUERY)
+    {
+      hs_load_queriers_add (agent->load_queriers, &packet->peer, now);
+      send_load_report (agent, &packet->peer);
+    }
   if (message->type == HS_INNER_LOOKUP_QUERY)
     on_lookup_query (agent, &message->queried_segment, &packet->peer, now);
   if (message->type == HS_INNER_OWNERSHIP)
@@ -443,10 +452,11 @@
   return true;
 }
 
+/* Agents do not follow the list of agents.  */
 static void
-on_entries_added (void *ctx)
+on_agents_changed (void *ctx)
 {
-  send_load_reports (ctx, hs_clock_monotonic ());
+  (void)ctx;
 }
 
 static void
@@ -457,17 +467,19 @@
 
   hs_sidecar_tick (agent->sidecar, now);
   hs_directory_expire (agent->directory, now);
+  hs_load_queriers_expire (agent->load_queriers, now);
   hs_sidecar_fill_load_report (agent->sidecar, &load);
   hs_counter_set (agent->metrics.requests_in_progress,
                   load.requests_in_progress);
   hs_counter_set (agent->metrics.open_flows, load.open_flows);
   hs_counter_set (agent->metrics.state, load.state);
   if (load.state != agent->reported_state)
-    hs_log_write (agent->log, HS_LOG_WARNING, "upstream-state", "{s:s, s:i}",
-                  "state", hs_agent_state_name (load.state), "busy",
-                  (int)load.requests_in_progress);
-  if (load.state != agent->reported_state || now >= agent->next_report_at)
-    send_load_reports (agent, now);
+    {
+      hs_log_write (agent->log, HS_LOG_WARNING, "upstream-state", "{s:s, s:i}",
+                    "state", hs_agent_state_name (load.state), "busy",
+                    (int)load.requests_in_progress);
+      notify_entries (agent);
+    }
   if (agent->drain_ends_at != 0 && now >= agent->drain_ends_at)
     {
       hs_log_write (agent->log, HS_LOG_INFO, "drained", NULL);
@@ -482,7 +494,7 @@
   struct hs_segment_agent *agent = ctx;
 
   hs_sidecar_drain (agent->sidecar);
-  send_load_reports (agent, now);
+  notify_entries (agent);
   agent->drain_ends_at = now + DRAIN_DURATION_MS;
 }
 
@@ -652,22 +664,29 @@
                 (json_int_t)decision->response_ms);
 }
 
-/* Sends a load report to every entry.  */
+/* Sends a load report to every entry that has asked for one recently, since
+   the state has changed.  The others are told when they ask next.  */
+static void
+notify_entries (struct hs_segment_agent *agent)
+{
+  struct hs_load_report load;
+
+  hs_sidecar_fill_load_report (agent->sidecar, &load);
+  agent->reported_state = load.state;
+  hs_load_queriers_foreach (agent->load_queriers, send_load_report, agent);
+}
+
 static void
-send_load_reports (struct hs_segment_agent *agent, uint64_t now)
+send_load_report (void *ctx, const struct hs_addr *entry)
 {
-  const struct hs_follower_entries *entries
-      = hs_follower_entries (agent->node->follower);
+  struct hs_segment_agent *agent = ctx;
   struct hs_inner message = { .type = HS_INNER_LOAD_REPORT };
 
-  agent->next_report_at = now + HS_REPORT_INTERVAL_MS;
   hs_sidecar_fill_load_report (agent->sidecar, &message.load_report);
   message.load_report.agent_id = agent->node->node_id;
   message.load_report.incarnation = agent->node->incarnation;
   message.load_report.seq = ++agent->report_seq;
   message.load_report.address = agent->settings.inner_address;
   g_strlcpy (message.load_report.zone, agent->settings.zone, HS_NAME_SIZE);
-  agent->reported_state = message.load_report.state;
-  for (size_t i = 0; i < entries->len; i++)
-    hs_segment_node_send (agent->node, &entries->values[i], &message);
+  hs_segment_node_send (agent->node, entry, &message);
 }
--- a/src/base/addr.c
+++ b/src/base/addr.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 /* Types.  */
 
@@ -61,6 +62,12 @@
   return a->port == b->port && memcmp (a->ip, b->ip, sizeof a->ip) == 0;
 }
 
+uint64_t
+hs_addr_hash (const struct hs_addr *addr)
+{
+  return XXH3_64bits_withSeed (addr->ip, sizeof addr->ip, addr->port);
+}
+
 bool
 hs_addr_is_ipv4 (const struct hs_addr *addr)
 {
--- a/src/control/group.c
+++ b/src/control/group.c
@@ -400,8 +400,10 @@
 {
   struct hs_group *group = ctx;
 
-  hs_group_answer_pending (group, hs_clock_monotonic ());
-  hs_group_notify_nodes (group);
+  uint64_t now = hs_clock_monotonic ();
+
+  hs_group_answer_pending (group, now);
+  hs_group_notify_nodes (group, now);
   hs_counter_set (group->metrics.term, hs_replica_term (group->replica));
   hs_counter_set (group->metrics.is_leader,
                   hs_replica_is_leader (group->replica));
--- a/src/control/group_nodes.c
+++ b/src/control/group_nodes.c
@@ -8,6 +8,12 @@
 
 #include <string.h>
 
+/* Types.  */
+
+/* Minimum time between notifications of new agents, so that one covers many
+   that start together.  */
+#define AGENTS_NOTICE_INTERVAL_MS 100
+
 /* Private functions.  */
 
 static const uint8_t *find_patch (struct hs_group *group,
@@ -18,10 +24,10 @@
                         size_t len, uint32_t offset);
 static void notify_entry (void *ctx,
                           const struct hs_inner_heartbeat *heartbeat);
-static void notify_agent (void *ctx,
-                          const struct hs_inner_heartbeat *heartbeat);
-static void send_entries (struct hs_group *group, const struct hs_addr *to,
-                          struct hs_inner *message);
+static void
+notify_entry_of_agents (void *ctx, const struct hs_inner_heartbeat *heartbeat);
+static void send_agents (struct hs_group *group, const struct hs_addr *to,
+                         struct hs_inner *message);
 static void fill_status (struct hs_group *group,
                          struct hs_inner_status *status);
 static void send_inner (struct hs_group *group, const struct hs_addr *to,
@@ -36,18 +42,21 @@
 {
   struct hs_inner reply = { .type = HS_INNER_STATUS };
 
+  enum hs_node_change change
+      = hs_node_table_update (group->nodes, heartbeat, now);
+  struct hs_inner_addrs *new_agents = &group->new_agents;
+
   hs_counter_add (group->metrics.heartbeats, 1);
-  if (hs_node_table_update (group->nodes, heartbeat, now))
-    {
-      hs_log_write (group->log, HS_LOG_INFO, "node-heard", "{s:s, s:s, s:I}",
-                    "name", heartbeat->name, "zone", heartbeat->zone,
-                    "version", (json_int_t)heartbeat->configuration_version);
-      group->entries_changed
-          = group->entries_changed || heartbeat->role == HS_ROLE_ENTRY;
-    }
+  if (change != HS_NODE_UNCHANGED)
+    hs_log_write (group->log, HS_LOG_INFO, "node-heard", "{s:s, s:s, s:I}",
+                  "name", heartbeat->name, "zone", heartbeat->zone, "version",
+                  (json_int_t)heartbeat->configuration_version);
+  if (change == HS_NODE_ADDED && heartbeat->role == HS_ROLE_AGENT
+      && new_agents->len < HS_INNER_ADDRS_MAX)
+    new_agents->values[new_agents->len++] = heartbeat->address;
   fill_status (group, &reply.status);
-  if (reply.status.entries_digest != heartbeat->entries_digest)
-    send_entries (group, from, &reply);
+  if (heartbeat->wants_agents)
+    send_agents (group, from, &reply);
   else
     send_inner (group, from, &reply);
 }
@@ -96,14 +105,18 @@
 
 /* After a batch of ring items, the leader notifies entries of a new
    configuration, once for all versions accepted in the batch, and every host
-   notifies agents of a new entry.  A notification may be lost: the replies to
-   heartbeats have the same content.  */
+   notifies them of new agents.  A notification may be lost: the replies to
+   heartbeats have the same content, or request it by their digest.  */
 void
-hs_group_notify_nodes (struct hs_group *group)
+hs_group_notify_nodes (struct hs_group *group, uint64_t now)
 {
-  if (group->entries_changed)
-    hs_node_table_foreach (group->nodes, HS_ROLE_AGENT, notify_agent, group);
-  group->entries_changed = false;
+  if (group->new_agents.len > 0 && now >= group->next_agents_notice_at)
+    {
+      hs_node_table_foreach (group->nodes, HS_ROLE_ENTRY,
+                             notify_entry_of_agents, group);
+      group->new_agents.len = 0;
+      group->next_agents_notice_at = now + AGENTS_NOTICE_INTERVAL_MS;
+    }
   if (group->current == NULL
       || group->notified_version == group->current->version)
     return;
@@ -197,32 +210,31 @@
 }
 
 static void
-notify_agent (void *ctx, const struct hs_inner_heartbeat *heartbeat)
+notify_entry_of_agents (void *ctx, const struct hs_inner_heartbeat *heartbeat)
 {
   struct hs_group *group = ctx;
   struct hs_inner message = { .type = HS_INNER_STATUS };
 
   fill_status (group, &message.status);
-  send_entries (group, &heartbeat->address, &message);
+  message.status.agents = group->new_agents;
+  send_inner (group, &heartbeat->address, &message);
 }
 
-/* Sends MESSAGE, of type STATUS, with the list of entries, split into as many
+/* Sends MESSAGE, of type STATUS, with the list of agents, split into as many
    messages as are needed; an empty list needs one.  */
 static void
-send_entries (struct hs_group *group, const struct hs_addr *to,
-              struct hs_inner *message)
+send_agents (struct hs_group *group, const struct hs_addr *to,
+             struct hs_inner *message)
 {
-  size_t total = hs_node_table_count (group->nodes, HS_ROLE_ENTRY);
+  size_t total = hs_node_table_count (group->nodes, HS_ROLE_AGENT);
   size_t sent = 0;
 
-  message->status.has_entries = true;
-  message->status.entries_total = (uint32_t)total;
+  message->status.agents_total = (uint32_t)total;
   do
     {
-      hs_node_table_list_entries (group->nodes, sent,
-                                  &message->status.entries);
+      hs_node_table_list_agents (group->nodes, sent, &message->status.agents);
       send_inner (group, to, message);
-      sent += message->status.entries.len;
+      sent += message->status.agents.len;
     }
   while (sent < total);
 }
@@ -234,7 +246,7 @@
 
   status->configuration_version
       = group->current != NULL ? group->current->version : 0;
-  status->entries_digest = hs_node_table_entries_digest (group->nodes);
+  status->agents_digest = hs_node_table_agents_digest (group->nodes);
   status->control_hosts.len
       = hs_replica_list_hosts (group->replica, hosts, HS_INNER_ADDRS_MAX);
   for (size_t i = 0; i < status->control_hosts.len; i++)
--- a/src/control/group_state.h
+++ b/src/control/group_state.h
@@ -91,8 +91,10 @@
   struct hs_group_patch history[HS_GROUP_HISTORY_MAX]; /* Newest first.  */
   uint64_t notified_version; /* Newest version that entries were notified
                                 of.  */
-  bool entries_changed;      /* The agents have not been notified of a new or
-                                moved entry yet.  */
+  struct hs_inner_addrs new_agents; /* Agents that the entries have not been
+                                       notified of yet; once it is full, the
+                                       entries find out by the digest.  */
+  uint64_t next_agents_notice_at;   /* ms  */
 };
 
 /* group_nodes.c: messages from and to entries and agents.  */
@@ -107,7 +109,7 @@
    history, which takes ownership of it.  */
 void hs_group_push_history (struct hs_group *group,
                             struct hs_stored_configuration *stored);
-void hs_group_notify_nodes (struct hs_group *group);
+void hs_group_notify_nodes (struct hs_group *group, uint64_t now);
 void hs_group_on_node_expired (void *ctx,
                                const struct hs_inner_heartbeat *heartbeat);
 
--- a/src/control/node_table.c
+++ b/src/control/node_table.c
@@ -4,7 +4,6 @@
 #include "control/node_table.h"
 
 #include <talloc.h>
-#include <xxhash.h>
 
 /* Types.  */
 
@@ -22,12 +21,15 @@
 struct hs_node_table
 {
   struct hs_table *by_id;
-  struct hs_list nodes; /* Longest silent first.  */
+  struct hs_list nodes;   /* Longest silent first.  */
+  uint64_t agents_digest; /* XOR of the hashes of the agents' addresses, which
+                             does not depend on their order.  */
 };
 
 /* Private functions.  */
 
 static bool match_id (const struct hs_table_node *node, const void *key);
+static uint64_t digest_of (const struct hs_inner_heartbeat *heartbeat);
 
 /* Public definitions.  */
 
@@ -47,7 +49,7 @@
   talloc_free (table);
 }
 
-bool
+enum hs_node_change
 hs_node_table_update (struct hs_node_table *table,
                       const struct hs_inner_heartbeat *heartbeat, uint64_t now)
 {
@@ -55,10 +57,16 @@
       table->by_id, heartbeat->node_id, match_id, &heartbeat->node_id);
   struct node *node
       = found != NULL ? HS_LIST_ENTRY (found, struct node, id_link) : NULL;
-  bool changed
-      = node == NULL || node->heartbeat.incarnation != heartbeat->incarnation
-        || !hs_addr_equal (&node->heartbeat.address, &heartbeat->address);
-
+  enum hs_node_change change = HS_NODE_UNCHANGED;
+
+  if (node == NULL
+      || !hs_addr_equal (&node->heartbeat.address, &heartbeat->address))
+    change = HS_NODE_ADDED;
+  else if (node->heartbeat.incarnation != heartbeat->incarnation)
+    change = HS_NODE_RESTARTED;
+  if (node != NULL)
+    table->agents_digest ^= digest_of (&node->heartbeat);
+  table->agents_digest ^= digest_of (heartbeat);
   if (node == NULL)
     {
       node = talloc_zero (table, struct node);
@@ -69,7 +77,7 @@
   node->last_heard_at = now;
   hs_list_remove (&node->link);
   hs_list_append (&table->nodes, &node->link);
-  return changed;
+  return change;
 }
 
 void
@@ -83,6 +91,7 @@
       if (now - node->last_heard_at <= NODE_TIMEOUT_MS)
         return;
       expired (ctx, &node->heartbeat);
+      table->agents_digest ^= digest_of (&node->heartbeat);
       hs_table_remove (table->by_id, &node->id_link);
       hs_list_remove (link);
       talloc_free (node);
@@ -102,22 +111,10 @@
     }
 }
 
-/* XOR makes the digest independent of the order of the list.  */
 uint64_t
-hs_node_table_entries_digest (const struct hs_node_table *table)
+hs_node_table_agents_digest (const struct hs_node_table *table)
 {
-  uint64_t digest = 0;
-
-  HS_LIST_FOREACH (link, &table->nodes)
-    {
-      const struct node *node = HS_LIST_ENTRY (link, struct node, link);
-      const struct hs_addr *address = &node->heartbeat.address;
-
-      if (node->heartbeat.role == HS_ROLE_ENTRY)
-        digest ^= XXH3_64bits_withSeed (address->ip, sizeof address->ip,
-                                        address->port);
-    }
-  return digest;
+  return table->agents_digest;
 }
 
 size_t
@@ -131,20 +128,20 @@
 }
 
 void
-hs_node_table_list_entries (const struct hs_node_table *table, size_t skip,
-                            struct hs_inner_addrs *entries)
+hs_node_table_list_agents (const struct hs_node_table *table, size_t skip,
+                           struct hs_inner_addrs *agents)
 {
-  entries->len = 0;
+  agents->len = 0;
   HS_LIST_FOREACH (link, &table->nodes)
     {
       const struct node *node = HS_LIST_ENTRY (link, struct node, link);
 
-      if (node->heartbeat.role != HS_ROLE_ENTRY)
+      if (node->heartbeat.role != HS_ROLE_AGENT)
         continue;
       if (skip > 0)
         skip--;
-      else if (entries->len < HS_INNER_ADDRS_MAX)
-        entries->values[entries->len++] = node->heartbeat.address;
+      else if (agents->len < HS_INNER_ADDRS_MAX)
+        agents->values[agents->len++] = node->heartbeat.address;
     }
 }
 
@@ -157,3 +154,11 @@
 
   return HS_LIST_ENTRY (node, struct node, id_link)->heartbeat.node_id == *id;
 }
+
+/* Returns the share of a node in the digest of all agents.  */
+static uint64_t
+digest_of (const struct hs_inner_heartbeat *heartbeat)
+{
+  return heartbeat->role == HS_ROLE_AGENT ? hs_addr_hash (&heartbeat->address)
+                                          : 0;
+}
--- a/src/control/node_table.h
+++ b/src/control/node_table.h
@@ -15,11 +15,19 @@
 struct hs_node_table *hs_node_table_create (void *parent);
 void hs_node_table_destroy (struct hs_node_table *table);
 
+enum hs_node_change
+{
+  HS_NODE_UNCHANGED,
+  HS_NODE_RESTARTED, /* At the same address.  */
+  HS_NODE_ADDED      /* Or has another address.  */
+};
+
 /* Stores HEARTBEAT as the latest of its node; NOW is in ms, monotonic clock.
-   Returns true if the node is new, has restarted, or has another address.  */
-bool hs_node_table_update (struct hs_node_table *table,
-                           const struct hs_inner_heartbeat *heartbeat,
-                           uint64_t now);
+   Returns what has changed since the node's previous heartbeat.  */
+enum hs_node_change
+hs_node_table_update (struct hs_node_table *table,
+                      const struct hs_inner_heartbeat *heartbeat,
+                      uint64_t now);
 
 /* Removes the nodes whose heartbeats have stopped, and calls EXPIRED for each
    of them before it is freed.  */
@@ -31,16 +39,16 @@
                             enum hs_role role, hs_node_table_fn *fn,
                             void *ctx);
 
-/* Returns a digest of the addresses of all entries.  Equal sets of addresses
-   have equal digests, whatever the order of the heartbeats; 0: no entries.  */
-uint64_t hs_node_table_entries_digest (const struct hs_node_table *table);
+/* Returns a digest of the addresses of all agents.  Equal sets of addresses
+   have equal digests, whatever the order of the heartbeats; 0: no agents.  */
+uint64_t hs_node_table_agents_digest (const struct hs_node_table *table);
 
 size_t hs_node_table_count (const struct hs_node_table *table,
                             enum hs_role role);
 
-/* Stores in ENTRIES the addresses of the entries after the first SKIP, at
-   most HS_INNER_ADDRS_MAX.  */
-void hs_node_table_list_entries (const struct hs_node_table *table,
-                                 size_t skip, struct hs_inner_addrs *entries);
+/* Stores in AGENTS the addresses of the agents after the first SKIP, at most
+   HS_INNER_ADDRS_MAX.  */
+void hs_node_table_list_agents (const struct hs_node_table *table, size_t skip,
+                                struct hs_inner_addrs *agents);
 
 #endif /* HS_CONTROL_NODE_TABLE_H */
--- a/src/daemon/follower.c
+++ b/src/daemon/follower.c
@@ -16,17 +16,26 @@
 #define ROUND_MS 500
 
 /* Heartbeats in a round, and its length, until the node has a configuration
-   (entries) or knows an entry (agents).  */
+   and knows an agent (entries) or a control host has replied (agents).  */
 #define STARTUP_HEARTBEATS_PER_ROUND 3
 #define STARTUP_ROUND_MS 100
 
 /* Maximum number of chunks requested at once.  */
 #define CHUNK_REQUESTS_MAX 8
 
-/* An entry that no control host has listed for this long is removed.  The
+/* An agent that no control host has listed for this long is removed.  The
    period is longer than a control host needs after its start to receive a
-   heartbeat from every entry.  */
-#define ENTRY_EXPIRY_MS 12000
+   heartbeat from every agent.  */
+#define AGENT_EXPIRY_MS 12000
+
+/* The whole list of agents is requested if its digest has differed for
+   LIST_MISMATCH_MS, as a new agent takes a while to reach all control hosts;
+   again after LIST_REQUEST_INTERVAL_MS, or LIST_REQUEST_STARTUP_MS while the
+   node has been up for less than LIST_STARTUP_MS.  */
+#define LIST_MISMATCH_MS 500
+#define LIST_REQUEST_INTERVAL_MS 2000
+#define LIST_REQUEST_STARTUP_MS 300
+#define LIST_STARTUP_MS 5000
 
 /* The group is lost once no control host has replied for this long.  */
 #define GROUP_LOST_TIMEOUT_MS 3000
@@ -34,11 +43,12 @@
 #define TARGETS_MAX (HS_SETTINGS_ADDRS_MAX + HS_INNER_ADDRS_MAX)
 #define CONFIGURATION_SIZE_MAX 1048576 /* Bytes, encoded.  */
 
-struct entry_record
+struct listed_agent
 {
+  struct hs_table_node node; /* By address.  */
+  struct hs_list link;
   struct hs_addr address;
   uint64_t last_listed_at; /* ms.  */
-  uint64_t entries_digest; /* Digest of the latest list with this entry.  */
 };
 
 /* A configuration that is being fetched in chunks.  */
@@ -67,9 +77,15 @@
   uint64_t next_round_at; /* ms.  */
   uint64_t last_heard_at; /* ms, of a status reply; 0: never.  */
   bool group_lost;
-  size_t entry_records_len;
-  struct entry_record entry_records[HS_FOLLOWER_ENTRIES_MAX];
-  struct hs_follower_entries entry_addrs; /* Addresses in entry_records.  */
+  struct hs_table *agents_by_address; /* struct listed_agent.  */
+  struct hs_list agents;
+  struct hs_follower_agents agent_addrs; /* Their addresses.  */
+  uint64_t agents_digest;     /* XOR of hs_addr_hash of the addresses.  */
+  uint64_t all_listed_at;     /* ms, when a control host last had the same
+                                 digest.  */
+  uint64_t mismatch_since;    /* ms; 0: it is the same.  */
+  uint64_t list_requested_at; /* ms.  */
+  uint64_t first_tick_at;     /* ms; 0: not yet.  */
   struct fetch fetch;
   bool needs_whole; /* The last patch could not be applied: fetch the whole
                        configuration.  */
@@ -79,21 +95,20 @@
 
 static bool is_starting (const struct hs_follower *follower);
 static size_t heartbeats_per_round (const struct hs_follower *follower);
-static void send_heartbeat (struct hs_follower *follower);
+static void send_heartbeat (struct hs_follower *follower, uint64_t now);
 static size_t collect_targets (const struct hs_follower *follower,
                                struct hs_addr *targets);
 static void handle_status (struct hs_follower *follower,
                            const struct hs_addr *from,
                            const struct hs_inner_status *status, uint64_t now);
-static void handle_entries (struct hs_follower *follower,
-                            const struct hs_inner_status *status,
-                            uint64_t now);
-static bool update_entry (struct hs_follower *follower,
-                          const struct hs_addr *address,
-                          uint64_t entries_digest, uint64_t now);
-static size_t count_entries_with_digest (const struct hs_follower *follower,
-                                         uint64_t entries_digest);
-static void expire_entries (struct hs_follower *follower, uint64_t now);
+static void handle_agents (struct hs_follower *follower,
+                           const struct hs_inner_status *status, uint64_t now);
+static bool wants_agents (const struct hs_follower *follower, uint64_t now);
+static bool add_or_refresh_agent (struct hs_follower *follower,
+                                  const struct hs_addr *address, uint64_t now);
+static bool expire_agents (struct hs_follower *follower, uint64_t now);
+static void update_agent_addrs (struct hs_follower *follower);
+static bool match_address (const struct hs_table_node *node, const void *key);
 static void start_fetch (struct hs_follower *follower,
                          const struct hs_addr *from, uint64_t version);
 static void request_chunks (struct hs_follower *follower);
@@ -116,6 +131,8 @@
   follower->self = *self;
   follower->ops = *ops;
   follower->ctx = ctx;
+  follower->agents_by_address = hs_table_create (follower);
+  hs_list_init (&follower->agents);
   return follower;
 }
 
@@ -153,18 +170,23 @@
   bool lost = follower->last_heard_at != 0
               && now - follower->last_heard_at > GROUP_LOST_TIMEOUT_MS;
 
+  if (follower->first_tick_at == 0)
+    follower->first_tick_at = now;
   if (now < follower->next_round_at)
     return;
   follower->next_round_at
       = now + (is_starting (follower) ? STARTUP_ROUND_MS : ROUND_MS);
   for (size_t i = heartbeats_per_round (follower); i > 0; i--)
-    send_heartbeat (follower);
+    send_heartbeat (follower, now);
   if (follower->fetch.version != 0)
     request_missing_chunks (follower);
-  /* While no control host replies, no list refreshes the entries: keep them
+  /* While no control host replies, no list refreshes the agents: keep them
      all.  */
-  if (!lost)
-    expire_entries (follower, now);
+  if (!lost && expire_agents (follower, now))
+    {
+      update_agent_addrs (follower);
+      follower->ops.agents_changed (follower->ctx);
+    }
   if (lost != follower->group_lost)
     {
       follower->group_lost = lost;
@@ -178,10 +200,10 @@
   follower->self.configuration_version = version;
 }
 
-const struct hs_follower_entries *
-hs_follower_entries (const struct hs_follower *follower)
+const struct hs_follower_agents *
+hs_follower_agents (const struct hs_follower *follower)
 {
-  return &follower->entry_addrs;
+  return &follower->agent_addrs;
 }
 
 /* Private definitions.  */
@@ -191,7 +213,8 @@
 {
   return follower->self.role == HS_ROLE_ENTRY
              ? follower->self.configuration_version == 0
-             : follower->entry_records_len == 0;
+                   || hs_list_is_empty (&follower->agents)
+             : follower->last_heard_at == 0;
 }
 
 static size_t
@@ -206,13 +229,16 @@
 }
 
 static void
-send_heartbeat (struct hs_follower *follower)
+send_heartbeat (struct hs_follower *follower, uint64_t now)
 {
   struct hs_addr targets[TARGETS_MAX];
   size_t len = collect_targets (follower, targets);
   struct hs_inner message
       = { .type = HS_INNER_HEARTBEAT, .heartbeat = follower->self };
 
+  message.heartbeat.wants_agents = wants_agents (follower, now);
+  if (message.heartbeat.wants_agents)
+    follower->list_requested_at = now;
   if (len > 0)
     follower->ops.send (follower->ctx, &targets[follower->next_target++ % len],
                         &message);
@@ -245,84 +271,121 @@
   follower->last_heard_at = now;
   if (status->control_hosts.len > 0)
     follower->control_hosts = status->control_hosts;
-  if (status->has_entries)
-    handle_entries (follower, status, now);
-  else if (status->entries_digest == follower->self.entries_digest)
-    for (size_t i = 0; i < follower->entry_records_len; i++)
-      follower->entry_records[i].last_listed_at = now;
-  /* Agents need no configuration.  */
-  if (follower->self.role == HS_ROLE_ENTRY
-      && status->configuration_version > follower->self.configuration_version
+  /* Agents need no configuration, and no list of agents.  */
+  if (follower->self.role != HS_ROLE_ENTRY)
+    return;
+  handle_agents (follower, status, now);
+  if (status->configuration_version > follower->self.configuration_version
       && status->configuration_version > follower->fetch.version)
     start_fetch (follower, from, status->configuration_version);
 }
 
-/* A list may take several messages.  Its digest is stored only once all
-   have arrived; until then heartbeats carry the old digest, which requests the
-   list again.  */
+/* STATUS lists all agents, some, or none.  Agents that it does not list stay:
+   a control host that has just started knows only the few agents that have
+   sent it a heartbeat.  */
 static void
-handle_entries (struct hs_follower *follower,
-                const struct hs_inner_status *status, uint64_t now)
+handle_agents (struct hs_follower *follower,
+               const struct hs_inner_status *status, uint64_t now)
 {
-  const struct hs_inner_addrs *entries = &status->entries;
-  bool added = false;
-
-  for (size_t i = 0; i < entries->len; i++)
-    added |= update_entry (follower, &entries->values[i],
-                           status->entries_digest, now);
-  if (count_entries_with_digest (follower, status->entries_digest)
-      >= status->entries_total)
-    follower->self.entries_digest = status->entries_digest;
-  expire_entries (follower, now);
-  if (added)
-    follower->ops.entries_added (follower->ctx);
+  bool changed = false;
+
+  for (size_t i = 0; i < status->agents.len; i++)
+    changed |= add_or_refresh_agent (follower, &status->agents.values[i], now);
+  if (status->agents_digest == follower->agents_digest)
+    {
+      follower->all_listed_at = now;
+      follower->mismatch_since = 0;
+    }
+  else if (follower->mismatch_since == 0)
+    follower->mismatch_since = now;
+  if (!changed)
+    return;
+  update_agent_addrs (follower);
+  follower->ops.agents_changed (follower->ctx);
 }
 
-/* Adds or refreshes the entry at ADDRESS.  Returns whether it is new.  */
 static bool
-update_entry (struct hs_follower *follower, const struct hs_addr *address,
-              uint64_t entries_digest, uint64_t now)
+wants_agents (const struct hs_follower *follower, uint64_t now)
 {
-  struct entry_record record = { *address, now, entries_digest };
-
-  for (size_t i = 0; i < follower->entry_records_len; i++)
-    if (hs_addr_equal (&follower->entry_records[i].address, address))
-      {
-        follower->entry_records[i] = record;
-        return false;
-      }
-  if (follower->entry_records_len == HS_FOLLOWER_ENTRIES_MAX)
+  uint64_t interval_ms = now - follower->first_tick_at < LIST_STARTUP_MS
+                             ? LIST_REQUEST_STARTUP_MS
+                             : LIST_REQUEST_INTERVAL_MS;
+
+  if (follower->self.role != HS_ROLE_ENTRY)
     return false;
-  follower->entry_records[follower->entry_records_len++] = record;
-  return true;
+  return hs_list_is_empty (&follower->agents)
+         || (follower->mismatch_since != 0
+             && now - follower->mismatch_since >= LIST_MISMATCH_MS
+             && now - follower->list_requested_at >= interval_ms);
 }
 
-static size_t
-count_entries_with_digest (const struct hs_follower *follower,
-                           uint64_t entries_digest)
+/* Returns whether the agent at ADDRESS is new.  */
+static bool
+add_or_refresh_agent (struct hs_follower *follower,
+                      const struct hs_addr *address, uint64_t now)
 {
-  size_t count = 0;
+  uint64_t hash = hs_addr_hash (address);
+  struct hs_table_node *node = hs_table_find (follower->agents_by_address,
+                                              hash, match_address, address);
+  struct listed_agent *agent
+      = node != NULL ? HS_LIST_ENTRY (node, struct listed_agent, node) : NULL;
+
+  if (agent == NULL
+      && hs_table_len (follower->agents_by_address) >= HS_FOLLOWER_AGENTS_MAX)
+    return false;
+  if (agent == NULL)
+    {
+      agent = talloc_zero (follower, struct listed_agent);
+      agent->address = *address;
+      hs_table_insert (follower->agents_by_address, &agent->node, hash);
+      hs_list_append (&follower->agents, &agent->link);
+      follower->agents_digest ^= hash;
+    }
+  agent->last_listed_at = now;
+  return node == NULL;
+}
+
+/* Returns whether an agent was removed.  */
+static bool
+expire_agents (struct hs_follower *follower, uint64_t now)
+{
+  bool removed = false;
 
-  for (size_t i = 0; i < follower->entry_records_len; i++)
-    count += follower->entry_records[i].entries_digest == entries_digest;
-  return count;
+  HS_LIST_FOREACH (link, &follower->agents)
+    {
+      struct listed_agent *agent
+          = HS_LIST_ENTRY (link, struct listed_agent, link);
+
+      if (now - agent->last_listed_at <= AGENT_EXPIRY_MS
+          || now - follower->all_listed_at <= AGENT_EXPIRY_MS)
+        continue;
+      follower->agents_digest ^= hs_addr_hash (&agent->address);
+      hs_table_remove (follower->agents_by_address, &agent->node);
+      hs_list_remove (link);
+      talloc_free (agent);
+      removed = true;
+    }
+  return removed;
 }
 
-/* A control host that has just started lists only the few entries that have
-   sent it a heartbeat, so an entry missing from a list stays until
-   ENTRY_EXPIRY_MS after the last list with this entry.  */
 static void
-expire_entries (struct hs_follower *follower, uint64_t now)
+update_agent_addrs (struct hs_follower *follower)
+{
+  struct hs_follower_agents *addrs = &follower->agent_addrs;
+
+  addrs->len = 0;
+  addrs->values = talloc_realloc (follower, addrs->values, struct hs_addr,
+                                  hs_table_len (follower->agents_by_address));
+  HS_LIST_FOREACH (link, &follower->agents)
+    addrs->values[addrs->len++]
+        = HS_LIST_ENTRY (link, struct listed_agent, link)->address;
+}
+
+static bool
+match_address (const struct hs_table_node *node, const void *key)
 {
-  size_t len = 0;
-
-  for (size_t i = 0; i < follower->entry_records_len; i++)
-    if (now - follower->entry_records[i].last_listed_at <= ENTRY_EXPIRY_MS)
-      follower->entry_records[len++] = follower->entry_records[i];
-  follower->entry_records_len = len;
-  follower->entry_addrs.len = len;
-  for (size_t i = 0; i < len; i++)
-    follower->entry_addrs.values[i] = follower->entry_records[i].address;
+  return hs_addr_equal (
+      &HS_LIST_ENTRY (node, struct listed_agent, node)->address, key);
 }
 
 static void
--- a/src/daemon/follower.h
+++ b/src/daemon/follower.h
@@ -1,10 +1,13 @@
 /* follower.h -- how an entry or an agent follows the control group.
 
    The follower sends heartbeats to the control hosts in turn.  Their status
-   replies list the control hosts and the entries, and give the newest version
-   of the configuration.  An entry fetches that version in chunks; it never
-   applies one that is older than the version in force.  No I/O is done here:
-   messages leave by a callback.  Times are in ms on the monotonic clock.  */
+   replies list the control hosts, and give the newest version of the
+   configuration.  An entry fetches that version in chunks; it never applies
+   one that is older than the version in force.  An entry also follows the list
+   of agents: it is notified of new ones, and requests the whole list if the
+   digest of its own differs from that of the control hosts.  No I/O is done
+   here: messages leave by a callback.  Times are in ms on the monotonic
+   clock.  */
 
 #ifndef HS_DAEMON_FOLLOWER_H
 #define HS_DAEMON_FOLLOWER_H
@@ -12,15 +15,15 @@
 #include "base/settings.h"
 #include "wire/inner.h"
 
-#define HS_FOLLOWER_ENTRIES_MAX 2048
+#define HS_FOLLOWER_AGENTS_MAX 16384
 
 struct hs_follower;
 
-/* Inner addresses of the known entries.  */
-struct hs_follower_entries
+/* Inner addresses of the known agents.  */
+struct hs_follower_agents
 {
   size_t len;
-  struct hs_addr values[HS_FOLLOWER_ENTRIES_MAX];
+  struct hs_addr *values;
 };
 
 struct hs_follower_ops
@@ -34,8 +37,8 @@
   bool (*apply_configuration) (void *ctx, uint64_t base_version,
                                const uint8_t *bytes, size_t len);
 
-  /* hs_follower_entries has at least one new entry.  */
-  void (*entries_added) (void *ctx);
+  /* Agents were added to or removed from hs_follower_agents.  */
+  void (*agents_changed) (void *ctx);
 
   /* LOST is true once no control host has replied for a while, and false once
      one has replied again.  */
@@ -43,7 +46,7 @@
 };
 
 /* SELF describes this node and is copied; the follower updates its
-   configuration_version and entries_digest.  The result is a talloc child of
+   configuration_version and wants_agents.  The result is a talloc child of
    PARENT.  */
 struct hs_follower *hs_follower_create (void *parent,
                                         const struct hs_inner_heartbeat *self,
@@ -61,7 +64,7 @@
                           const struct hs_addr *from,
                           const struct hs_inner *inner, uint64_t now);
 
-/* Sends heartbeats, requests missing chunks again and expires entries.  Call
+/* Sends heartbeats, requests missing chunks again and expires agents.  Call
    it every 100 ms.  */
 void hs_follower_tick (struct hs_follower *follower, uint64_t now);
 
@@ -69,8 +72,8 @@
 void hs_follower_set_version (struct hs_follower *follower, uint64_t version);
 
 /* The result belongs to FOLLOWER and changes with hs_follower_receive and
-   hs_follower_tick.  */
-const struct hs_follower_entries *
-hs_follower_entries (const struct hs_follower *follower);
+   hs_follower_tick.  Empty if this node is an agent.  */
+const struct hs_follower_agents *
+hs_follower_agents (const struct hs_follower *follower);
 
 #endif /* HS_DAEMON_FOLLOWER_H */
--- a/src/daemon/segment_node.c
+++ b/src/daemon/segment_node.c
@@ -30,7 +30,7 @@
                               const struct hs_inner *inner);
 static bool on_apply_configuration (void *ctx, uint64_t base_version,
                                     const uint8_t *bytes, size_t len);
-static void on_entries_added (void *ctx);
+static void on_agents_changed (void *ctx);
 static void on_group_lost_changed (void *ctx, bool lost);
 static void on_request (void *ctx, struct hs_http_request *request);
 
@@ -200,7 +200,7 @@
 create_follower (struct hs_segment_node *node)
 {
   struct hs_follower_ops ops = { on_follower_send, on_apply_configuration,
-                                 on_entries_added, on_group_lost_changed };
+                                 on_agents_changed, on_group_lost_changed };
   struct hs_inner_heartbeat self = { .role = node->settings.role,
                                      .node_id = node->node_id,
                                      .incarnation = node->incarnation,
@@ -341,11 +341,11 @@
 }
 
 static void
-on_entries_added (void *ctx)
+on_agents_changed (void *ctx)
 {
   struct hs_segment_node *node = ctx;
 
-  node->ops.entries_added (node->ctx);
+  node->ops.agents_changed (node->ctx);
 }
 
 static void
--- a/src/daemon/segment_node.h
+++ b/src/daemon/segment_node.h
@@ -39,7 +39,7 @@
   /* As in struct hs_follower_ops.  */
   bool (*apply_configuration) (void *ctx, uint64_t base_version,
                                const uint8_t *bytes, size_t len);
-  void (*entries_added) (void *ctx);
+  void (*agents_changed) (void *ctx);
 
   /* Called every HS_SEGMENT_NODE_TICK_MS.  */
   void (*tick) (void *ctx, uint64_t now);
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -20,8 +20,8 @@
 #define TAG_SEGMENTS 1 /* Tag of packets from segments_fd.  */
 
 /* Time after a start by which every live agent has reported its load to this
-   entry: both sides have polled each control host once, and the agent has
-   sent a report.  */
+   entry: both sides have polled each control host once, and the entry has
+   asked the agent.  */
 #define POOL_COMPLETE_MS 2000
 
 /* The same after a restart of all hosts together: all agents then report
@@ -57,6 +57,7 @@
   struct hs_counter *syns_refused;
   struct hs_counter *resets;
   struct hs_counter *dropped;
+  struct hs_counter *load_queries;
   struct hs_counter *load_reports;
   struct hs_counter *flows;
   struct hs_counter *configuration_version;
@@ -74,6 +75,10 @@
 
   /* Used by the decision worker only.  */
   struct hs_agent_pool *pool;
+  struct hs_load_poller *load_poller;
+  struct hs_timer poll_timer;
+  struct hs_egress *egress;
+  struct hs_timer egress_timer; /* Running while datagrams are queued.  */
   struct hs_uplink *uplink;
   struct hs_forwarder *forwarder;
   struct hs_pending_segments *pending_segments;
@@ -132,7 +137,13 @@
                                uint64_t base_version, const uint8_t *bytes,
                                size_t len, size_t *uncompressed_len,
                                GError **error);
-static void on_entries_added (void *ctx);
+static void on_agents_changed (void *ctx);
+static void on_query_load (void *ctx, const struct hs_addr *address);
+static void on_poll_due (void *ctx, uint64_t now);
+static void send_message (struct hs_segment_entry *entry,
+                          const struct hs_addr *to,
+                          const struct hs_inner *message, uint64_t now);
+static void start_egress_timer (struct hs_segment_entry *entry);
 static void on_tick (void *ctx, uint64_t now);
 static void on_drain (void *ctx, uint64_t now);
 static void execute_decision (struct hs_segment_entry *entry,
@@ -142,8 +153,15 @@
                               uint64_t now);
 static void forward_segment (struct hs_segment_entry *entry,
                              struct hs_packet *packet,
+                             const struct hs_segment *segment,
                              const struct hs_forward_decision *decision,
                              uint64_t now);
+static bool send_or_queue (struct hs_segment_entry *entry,
+                           struct hs_packet *packet,
+                           const struct hs_segment *segment, uint64_t now);
+static void on_egress_due (void *ctx, uint64_t now);
+static void on_send_queued (void *ctx, const struct hs_addr *to,
+                            const uint8_t *data, size_t len);
 static void queue_segment (struct hs_pending_segments *queue,
                            struct hs_segment_entry *entry,
                            const struct hs_packet *packet,
@@ -182,10 +200,12 @@
           .batches = POOL_BATCHES,
           .adapter = settings->adapter };
   struct hs_segment_node_ops node_ops
-      = { on_caller_packet, on_inner_message, on_configuration,
-          on_entries_added, on_tick,          on_drain };
+      = { on_caller_packet,  on_inner_message, on_configuration,
+          on_agents_changed, on_tick,          on_drain };
   struct hs_forwarder_ops forwarder_ops
       = { on_reset_caller, on_query_owner, on_send_pending, on_record_owner };
+  struct hs_egress_ops egress_ops = { on_send_queued };
+  struct hs_load_poller_ops poller_ops = { on_query_load };
 
   entry->settings = *settings;
   entry->log = log;
@@ -206,8 +226,16 @@
     }
   entry->pool = hs_agent_pool_create (entry->node->datapath->decision_worker,
                                       settings->zone);
+  entry->load_poller = hs_load_poller_create (
+      entry->node->datapath->decision_worker, settings->zone, entry->pool,
+      &poller_ops, entry);
+  hs_timer_init (&entry->poll_timer, on_poll_due, entry);
+  hs_timer_start (entry->node->timers, &entry->poll_timer, entry->up_since);
+  entry->egress = hs_egress_create (entry->node->datapath->decision_worker,
+                                    settings->uplink_mbps, &egress_ops, entry);
+  hs_timer_init (&entry->egress_timer, on_egress_due, entry);
   entry->uplink = hs_uplink_create (entry->node->datapath->decision_worker,
-                                    settings->uplink_mbps);
+                                    settings->uplink_mbps, entry->egress);
   entry->forwarder = hs_forwarder_create (
       entry->node->datapath->decision_worker, entry->pool, entry->uplink,
       &forwarder_ops, entry);
@@ -280,6 +308,8 @@
       = hs_counter_create (set, "segments_dropped_total",
                            "Segments dropped because no agent accepts them "
                            "or too many are queued.");
+  metrics->load_queries = hs_counter_create (set, "load_queries_total",
+                                             "Load queries sent to agents.");
   metrics->load_reports = hs_counter_create (
       set, "load_reports_total", "Load reports received from agents.");
   metrics->report_age = hs_histogram_create (
@@ -297,7 +327,7 @@
   struct hs_segment_entry *entry = ctx;
 
   entry->last_segment_at = now;
-  hs_uplink_count (entry->uplink, HS_UPLINK_IN, packet->len, now);
+  hs_uplink_count_received (entry->uplink, packet->len, now);
   handle_segment (entry, packet, now);
 }
 
@@ -316,6 +346,12 @@
       return;
     }
   decision = hs_forwarder_route (entry->forwarder, &segment, now);
+  if (decision.is_placement)
+    hs_load_poller_handle_syn (entry->load_poller,
+                               decision.agents[0]->report.service_id, now);
+  else if (decision.least_busy != NULL)
+    hs_load_poller_handle_syn (entry->load_poller,
+                               decision.least_busy->report.service_id, now);
   execute_decision (entry, packet, &segment, &decision, now);
 }
 
@@ -325,8 +361,8 @@
 {
   struct hs_segment_entry *entry = ctx;
 
-  hs_uplink_count (entry->uplink, HS_UPLINK_IN,
-                   packet->len + HS_INNER_SEGMENT_HEADER_MAX, now);
+  hs_uplink_count_received (entry->uplink,
+                            packet->len + HS_INNER_SEGMENT_HEADER_MAX, now);
   if (message->type == HS_INNER_REFUSED_SYN)
     on_refused_syn (entry, packet, &message->segment_header, now);
   else if (message->type == HS_INNER_LOAD_REPORT)
@@ -387,9 +423,8 @@
       = { .type = HS_INNER_LOOKUP_QUERY, .queried_segment = *segment };
 
   hs_counter_add (entry->metrics.lookup_queries, 1);
-  hs_uplink_count (entry->uplink, HS_UPLINK_OUT, HS_INNER_SEGMENT_HEADER_MAX,
-                   hs_clock_monotonic ());
-  hs_segment_node_send (entry->node, &agent->report.address, &message);
+  send_message (entry, &agent->report.address, &message,
+                hs_clock_monotonic ());
 }
 
 static void
@@ -410,18 +445,21 @@
 {
   const struct pending_destination *destination = ctx;
   struct hs_segment_entry *entry = destination->entry;
+  const struct hs_adapter *adapter = entry->settings.adapter;
   struct hs_packet *packet = hs_outbox_add (entry->node->outbox);
+  struct hs_segment segment;
   struct hs_forward_decision decision
       = { .action = HS_FORWARD_TO_AGENTS,
           .owner_only = destination->owner_only,
           .agents_len = 1,
           .agents = { destination->agent } };
 
-  if (packet == NULL)
+  if (packet == NULL
+      || !adapter->decode_segment (adapter->ctx, data, len, &segment))
     return;
   memcpy (hs_packet_bytes (packet), data, len);
   packet->len = (uint16_t)len;
-  forward_segment (entry, packet, &decision, hs_clock_monotonic ());
+  forward_segment (entry, packet, &segment, &decision, hs_clock_monotonic ());
 }
 
 static void
@@ -434,7 +472,8 @@
   message.ownership.lookup_answer = HS_LOOKUP_RECORDED_ELSEWHERE;
   message.ownership.agent_id = owner_id;
   message.ownership.key = *key;
-  hs_segment_node_send (entry->node, &directory->report.address, &message);
+  send_message (entry, &directory->report.address, &message,
+                hs_clock_monotonic ());
 }
 
 static void
@@ -469,7 +508,8 @@
   char address[HS_ADDR_TEXT_SIZE];
 
   hs_counter_add (entry->metrics.load_reports, 1);
-  if (!hs_agent_pool_update (entry->pool, report, now))
+  if (!hs_load_poller_handle_report (entry->load_poller, report)
+      || !hs_agent_pool_update (entry->pool, report, now))
     return;
   hs_addr_format (&report->address, address);
   hs_log_write (entry->log, HS_LOG_INFO, "agent-changed",
@@ -548,11 +588,52 @@
   return NULL;
 }
 
-/* An entry does not use the list of entries.  */
 static void
-on_entries_added (void *ctx)
+on_agents_changed (void *ctx)
+{
+  struct hs_segment_entry *entry = ctx;
+  const struct hs_follower_agents *agents
+      = hs_follower_agents (entry->node->follower);
+
+  hs_load_poller_set_agents (entry->load_poller, agents->values, agents->len);
+}
+
+static void
+on_query_load (void *ctx, const struct hs_addr *address)
+{
+  struct hs_segment_entry *entry = ctx;
+  struct hs_inner message = { .type = HS_INNER_LOAD_QUERY };
+
+  hs_counter_add (entry->metrics.load_queries, 1);
+  send_message (entry, address, &message, hs_clock_monotonic ());
+}
+
+static void
+on_poll_due (void *ctx, uint64_t now)
+{
+  struct hs_segment_entry *entry = ctx;
+
+  hs_load_poller_tick (entry->load_poller, now);
+  hs_timer_start (entry->node->timers, &entry->poll_timer,
+                  now + HS_LOAD_POLLER_TICK_MS);
+}
+
+/* Sends MESSAGE to an agent, or queues it for the uplink.  */
+static void
+send_message (struct hs_segment_entry *entry, const struct hs_addr *to,
+              const struct hs_inner *message, uint64_t now)
 {
-  (void)ctx;
+  uint8_t bytes[HS_INNER_SIZE_MAX];
+  size_t len = hs_inner_encode (message, bytes);
+
+  if (hs_egress_take (entry->egress, HS_EGRESS_SHORT, len, now))
+    {
+      hs_segment_node_send (entry->node, to, message);
+      return;
+    }
+  if (!hs_egress_queue (entry->egress, HS_EGRESS_SHORT, 0, to, bytes, len))
+    hs_counter_add (entry->metrics.dropped, 1);
+  start_egress_timer (entry);
 }
 
 static void
@@ -604,7 +685,7 @@
   switch (decision->action)
     {
     case HS_FORWARD_TO_AGENTS:
-      forward_segment (entry, packet, decision, now);
+      forward_segment (entry, packet, segment, decision, now);
       break;
     case HS_FORWARD_QUEUE:
       queue_segment (entry->pending_segments, entry, packet, segment, now);
@@ -620,6 +701,7 @@
 
 static void
 forward_segment (struct hs_segment_entry *entry, struct hs_packet *packet,
+                 const struct hs_segment *segment,
                  const struct hs_forward_decision *decision, uint64_t now)
 {
   struct hs_inner message = { .type = HS_INNER_FORWARD };
@@ -646,12 +728,64 @@
       message.segment_header.agent_id = report->agent_id;
       hs_segment_node_encapsulate (entry->node, packet, &message,
                                    &report->address);
-      hs_uplink_count (entry->uplink, HS_UPLINK_OUT, packet->len, now);
-      if (i + 1 < decision->agents_len)
+      if (send_or_queue (entry, packet, segment, now)
+          && i + 1 < decision->agents_len)
         hs_segment_node_send_copy (entry->node, packet);
     }
 }
 
+/* Returns whether PACKET may be sent at once.  Otherwise it is marked as not
+   to be sent, and a copy is queued for the uplink.  */
+static bool
+send_or_queue (struct hs_segment_entry *entry, struct hs_packet *packet,
+               const struct hs_segment *segment, uint64_t now)
+{
+  enum hs_egress_class class = hs_egress_class_of (entry->routing, segment);
+
+  if (hs_egress_take (entry->egress, class, packet->len, now))
+    return true;
+  if (!hs_egress_queue (entry->egress, class, hs_egress_tag_of (segment),
+                        &packet->peer, hs_packet_bytes (packet), packet->len))
+    hs_counter_add (entry->metrics.dropped, 1);
+  packet->fd = -1;
+  start_egress_timer (entry);
+  return false;
+}
+
+static void
+on_egress_due (void *ctx, uint64_t now)
+{
+  struct hs_segment_entry *entry = ctx;
+
+  hs_egress_flush (entry->egress, now);
+  start_egress_timer (entry);
+}
+
+static void
+start_egress_timer (struct hs_segment_entry *entry)
+{
+  uint64_t flush_at = hs_egress_flush_at (entry->egress);
+
+  if (flush_at != UINT64_MAX)
+    hs_timer_start (entry->node->timers, &entry->egress_timer, flush_at);
+}
+
+static void
+on_send_queued (void *ctx, const struct hs_addr *to, const uint8_t *data,
+                size_t len)
+{
+  struct hs_segment_entry *entry = ctx;
+  struct hs_packet *packet = hs_outbox_add (entry->node->outbox);
+
+  if (packet == NULL)
+    return;
+  packet->start = 0;
+  packet->len = (uint16_t)len;
+  packet->peer = *to;
+  packet->fd = entry->node->datapath->inner_fd;
+  memcpy (packet->data, data, len);
+}
+
 static void
 queue_segment (struct hs_pending_segments *queue,
                struct hs_segment_entry *entry, const struct hs_packet *packet,
--- a/src/segment/agent_pool.c
+++ b/src/segment/agent_pool.c
@@ -29,6 +29,9 @@
 /* Slots of an upstream that has not reported any.  */
 #define SLOTS_DEFAULT 1
 
+/* Age up to which a load report is preferred to older ones.  */
+#define FRESH_REPORT_MS 300
+
 struct hs_agent_pool
 {
   char zone[HS_NAME_SIZE];
@@ -40,6 +43,17 @@
 /* Private functions.  */
 
 static bool may_own_flows (const struct hs_pool_agent *agent, uint64_t now);
+static bool is_silent (const struct hs_pool_agent *agent, uint64_t timeout_ms,
+                       uint64_t now);
+static void remove_agent (struct hs_agent_pool *pool,
+                          struct hs_pool_agent *agent);
+static struct hs_pool_agent *
+find_lowest_load (struct hs_agent_pool *pool, uint64_t service_id,
+                  const uint64_t *excluded, size_t excluded_len,
+                  uint64_t age_max_ms, uint64_t now);
+static const struct hs_pool_agent *
+find_least_busy (const struct hs_agent_pool *pool, uint64_t service_id,
+                 uint64_t age_max_ms, uint64_t now);
 
 static bool match_id (const struct hs_table_node *node, const void *key);
 static struct hs_pool_agent *find_agent (const struct hs_agent_pool *pool,
@@ -99,11 +113,31 @@
             || report->incarnation != agent->report.incarnation;
   agent->report = *report;
   agent->last_heard_at = now;
+  agent->unanswered_since = 0;
   agent->placed_flows = 0;
   agent->is_same_zone = strcmp (report->zone, pool->zone) == 0;
   return changed;
 }
 
+void
+hs_agent_pool_mark_queried (struct hs_agent_pool *pool, uint64_t agent_id,
+                            uint64_t now)
+{
+  struct hs_pool_agent *agent = find_agent (pool, agent_id);
+
+  if (agent != NULL && agent->unanswered_since == 0)
+    agent->unanswered_since = now;
+}
+
+void
+hs_agent_pool_remove (struct hs_agent_pool *pool, uint64_t agent_id)
+{
+  struct hs_pool_agent *agent = find_agent (pool, agent_id);
+
+  if (agent != NULL)
+    remove_agent (pool, agent);
+}
+
 void
 hs_agent_pool_set_state (struct hs_agent_pool *pool, uint64_t agent_id,
                          enum hs_agent_state state)
@@ -124,7 +158,7 @@
 hs_pool_agent_accepts_flows (const struct hs_pool_agent *agent, uint64_t now)
 {
   return agent->report.state == HS_AGENT_READY
-         && now - agent->last_heard_at <= HS_REPORT_TIMEOUT_MS;
+         && !is_silent (agent, HS_ANSWER_TIMEOUT_MS, now);
 }
 
 const struct hs_pool_agent *
@@ -132,25 +166,12 @@
                           const uint64_t *excluded, size_t excluded_len,
                           uint64_t now)
 {
-  struct hs_pool_agent *best = NULL;
-  double best_load = 0;
-
-  HS_LIST_FOREACH (link, &pool->agents)
-    {
-      struct hs_pool_agent *agent
-          = HS_LIST_ENTRY (link, struct hs_pool_agent, lru_link);
-      double load;
+  struct hs_pool_agent *best = find_lowest_load (
+      pool, service_id, excluded, excluded_len, FRESH_REPORT_MS, now);
 
-      if (agent->report.service_id != service_id
-          || !hs_pool_agent_accepts_flows (agent, now)
-          || is_excluded (agent->report.agent_id, excluded, excluded_len))
-        continue;
-      load = load_of (agent);
-      if (best != NULL && load >= best_load)
-        continue;
-      best = agent;
-      best_load = load;
-    }
+  if (best == NULL)
+    best = find_lowest_load (pool, service_id, excluded, excluded_len,
+                             UINT64_MAX, now);
   if (best == NULL)
     return NULL;
   best->placed_flows++;
@@ -174,20 +195,11 @@
 hs_agent_pool_least_busy (const struct hs_agent_pool *pool,
                           uint64_t service_id, uint64_t now)
 {
-  const struct hs_pool_agent *best = NULL;
-
-  HS_LIST_FOREACH (link, &pool->agents)
-    {
-      const struct hs_pool_agent *agent
-          = HS_LIST_ENTRY (link, struct hs_pool_agent, lru_link);
+  const struct hs_pool_agent *best
+      = find_least_busy (pool, service_id, FRESH_REPORT_MS, now);
 
-      if (agent->report.service_id == service_id
-          && hs_pool_agent_accepts_flows (agent, now)
-          && (best == NULL
-              || hs_pool_agent_wait_us (agent) < hs_pool_agent_wait_us (best)))
-        best = agent;
-    }
-  return best;
+  return best != NULL ? best
+                      : find_least_busy (pool, service_id, UINT64_MAX, now);
 }
 
 size_t
@@ -230,11 +242,8 @@
       struct hs_pool_agent *agent
           = HS_LIST_ENTRY (link, struct hs_pool_agent, lru_link);
 
-      if (now - agent->last_heard_at <= HS_POOL_AGENT_EXPIRY_MS)
-        continue;
-      hs_table_remove (pool->by_id, &agent->node);
-      hs_list_remove (link);
-      talloc_free (agent);
+      if (is_silent (agent, HS_POOL_AGENT_EXPIRY_MS, now))
+        remove_agent (pool, agent);
     }
 }
 
@@ -245,10 +254,78 @@
 static bool
 may_own_flows (const struct hs_pool_agent *agent, uint64_t now)
 {
-  bool silent = now - agent->last_heard_at > HS_REPORT_TIMEOUT_MS;
-
   return !agent->report.no_upstream
-         && !(silent && agent->report.state == HS_AGENT_UPSTREAM_SILENT);
+         && !(is_silent (agent, HS_REPORT_TIMEOUT_MS, now)
+              && agent->report.state == HS_AGENT_UPSTREAM_SILENT);
+}
+
+static bool
+is_silent (const struct hs_pool_agent *agent, uint64_t timeout_ms,
+           uint64_t now)
+{
+  return agent->unanswered_since != 0
+         && now - agent->unanswered_since > timeout_ms;
+}
+
+static void
+remove_agent (struct hs_agent_pool *pool, struct hs_pool_agent *agent)
+{
+  hs_table_remove (pool->by_id, &agent->node);
+  hs_list_remove (&agent->lru_link);
+  talloc_free (agent);
+}
+
+/* Returns the agent of a service with the lowest load whose report is at most
+   AGE_MAX_MS old, or NULL.  */
+static struct hs_pool_agent *
+find_lowest_load (struct hs_agent_pool *pool, uint64_t service_id,
+                  const uint64_t *excluded, size_t excluded_len,
+                  uint64_t age_max_ms, uint64_t now)
+{
+  struct hs_pool_agent *best = NULL;
+  double best_load = 0;
+
+  HS_LIST_FOREACH (link, &pool->agents)
+    {
+      struct hs_pool_agent *agent
+          = HS_LIST_ENTRY (link, struct hs_pool_agent, lru_link);
+      double load;
+
+      if (agent->report.service_id != service_id
+          || now - agent->last_heard_at > age_max_ms
+          || !hs_pool_agent_accepts_flows (agent, now)
+          || is_excluded (agent->report.agent_id, excluded, excluded_len))
+        continue;
+      load = load_of (agent);
+      if (best != NULL && load >= best_load)
+        continue;
+      best = agent;
+      best_load = load;
+    }
+  return best;
+}
+
+/* Returns the agent of a service with the shortest expected wait whose report
+   is at most AGE_MAX_MS old, or NULL.  */
+static const struct hs_pool_agent *
+find_least_busy (const struct hs_agent_pool *pool, uint64_t service_id,
+                 uint64_t age_max_ms, uint64_t now)
+{
+  const struct hs_pool_agent *best = NULL;
+
+  HS_LIST_FOREACH (link, &pool->agents)
+    {
+      const struct hs_pool_agent *agent
+          = HS_LIST_ENTRY (link, struct hs_pool_agent, lru_link);
+
+      if (agent->report.service_id == service_id
+          && now - agent->last_heard_at <= age_max_ms
+          && hs_pool_agent_accepts_flows (agent, now)
+          && (best == NULL
+              || hs_pool_agent_wait_us (agent) < hs_pool_agent_wait_us (best)))
+        best = agent;
+    }
+  return best;
 }
 
 static bool
--- a/src/segment/forwarder.c
+++ b/src/segment/forwarder.c
@@ -276,7 +276,7 @@
 
   if (flow->syn_agent_ids_len == 0
       && hs_uplink_refuses_flow (forwarder->uplink, flow->request_class,
-                                 flow->priority, now))
+                                 flow->slo_ms, flow->priority, now))
     return refuse_uplink_full (forwarder, now);
   if (flow->syn_agent_ids_len == 0
       && hs_agent_pool_is_overloaded (forwarder->pool, flow->service_id,
@@ -373,6 +373,7 @@
   struct hs_forward_decision decision = hs_forward_decision_without_agents (
       HS_FORWARD_RESET, HS_REASON_OVERLOADED);
 
-  decision.uplink_queue_ms = hs_uplink_queue_ms (forwarder->uplink, now);
+  decision.uplink_queue_ms
+      = hs_uplink_wait_ms (forwarder->uplink, HS_EGRESS_BULK, now);
   return decision;
 }
--- a/src/segment/uplink.c
+++ b/src/segment/uplink.c
@@ -1,14 +1,14 @@
-/* uplink.c -- estimates the queue on the uplink, the network link of an
-   entry's host.
+/* uplink.c -- refuses new flows before the uplink, the network link of an
+   entry's host, is full, and limits the rate of lookup queries.
 
-   For each direction, a virtual queue is filled by the datagrams that are sent
-   or received and drained at a part of the uplink's rate, so that it grows
-   before the real queue does.
+   The wait for the outgoing direction is that of the egress queue.  For the
+   incoming direction, a virtual queue is filled by the datagrams received and
+   drained at a part of the uplink's rate, so that it grows before the real
+   queue does.
 
-   New flows are refused before the uplink is full, such as when many uploads
-   arrive at once or move here from an entry that has failed: a full uplink
-   drops segments of all its flows, and each of them is sent again over the
-   same uplink.  */
+   New flows are refused such as when many uploads arrive at once or move here
+   from an entry that has failed: a full uplink drops segments of all its
+   flows, and each of them is sent again over the same uplink.  */
 
 #include "hibiscusspan.h"
 
@@ -31,17 +31,18 @@
 #define QUERY_SIZE 80 /* Bytes, with the headers.  */
 #define QUERY_TOKENS_MAX 256
 
-/* New uploads are refused while the queue is longer than two windows of other
-   uploads at 6.9 Mbit/s, flows of low priority while it is longer than half of
-   a latency objective of 300 ms.  */
-#define UPLOAD_QUEUE_MAX_MS 70
-#define LOW_PRIORITY_QUEUE_MAX_MS 150
+/* A new flow may wait for the uplink for this share of its latency objective.
+   An upload waits again for each window of its segments.  */
+#define UPLOAD_WAIT_PERCENT 25
+#define LOW_PRIORITY_WAIT_PERCENT 50
 #define LOW_PRIORITY_MIN 2 /* Priorities from this number on are low.  */
+#define SLO_DEFAULT_MS 800 /* Latency objective of routes without one.  */
 
 struct hs_uplink
 {
-  double bytes_per_ms; /* Usable part of the rate; 0: no limit.  */
-  double queued_bytes[HS_UPLINK_DIRECTIONS];
+  double bytes_per_ms;   /* Usable part of the rate; 0: no limit.  */
+  double received_bytes; /* In the virtual queue.  */
+  struct hs_egress *egress;
   double query_tokens;       /* Negative if the last lookup took more than
                                 were left.  */
   uint64_t last_advanced_at; /* ms  */
@@ -54,12 +55,13 @@
 /* Public definitions.  */
 
 struct hs_uplink *
-hs_uplink_create (void *parent, double mbit_per_s)
+hs_uplink_create (void *parent, double mbit_per_s, struct hs_egress *egress)
 {
   struct hs_uplink *uplink = talloc_zero (parent, struct hs_uplink);
 
   uplink->bytes_per_ms = mbit_per_s * 1000 / 8 * USABLE_PERCENT / 100;
   uplink->query_tokens = QUERY_TOKENS_MAX;
+  uplink->egress = egress;
   return uplink;
 }
 
@@ -70,36 +72,39 @@
 }
 
 void
-hs_uplink_count (struct hs_uplink *uplink, enum hs_uplink_direction direction,
-                 size_t len, uint64_t now)
+hs_uplink_count_received (struct hs_uplink *uplink, size_t len, uint64_t now)
 {
   advance (uplink, now);
-  uplink->queued_bytes[direction] += (double)(len + IP_UDP_HEADERS_SIZE);
+  uplink->received_bytes += (double)(len + IP_UDP_HEADERS_SIZE);
 }
 
 uint64_t
-hs_uplink_queue_ms (struct hs_uplink *uplink, uint64_t now)
+hs_uplink_wait_ms (struct hs_uplink *uplink, enum hs_egress_class class,
+                   uint64_t now)
 {
-  double longest = 0;
+  uint64_t sent_ms = hs_egress_wait_ms (uplink->egress, class, now);
+  uint64_t received_ms;
 
   advance (uplink, now);
-  for (size_t i = 0; i < HS_UPLINK_DIRECTIONS; i++)
-    if (uplink->queued_bytes[i] > longest)
-      longest = uplink->queued_bytes[i];
-  return uplink->bytes_per_ms > 0 ? (uint64_t)(longest / uplink->bytes_per_ms)
-                                  : 0;
+  received_ms = uplink->bytes_per_ms > 0
+                    ? (uint64_t)(uplink->received_bytes / uplink->bytes_per_ms)
+                    : 0;
+  return received_ms > sent_ms ? received_ms : sent_ms;
 }
 
 bool
 hs_uplink_refuses_flow (struct hs_uplink *uplink,
-                        enum hs_request_class request_class, uint32_t priority,
-                        uint64_t now)
+                        enum hs_request_class request_class, uint32_t slo_ms,
+                        uint32_t priority, uint64_t now)
 {
-  uint64_t queue_ms = hs_uplink_queue_ms (uplink, now);
+  uint64_t objective_ms = slo_ms != 0 ? slo_ms : SLO_DEFAULT_MS;
 
   if (request_class == HS_REQUEST_CLASS_UPLOAD)
-    return queue_ms > UPLOAD_QUEUE_MAX_MS;
-  return priority >= LOW_PRIORITY_MIN && queue_ms > LOW_PRIORITY_QUEUE_MAX_MS;
+    return hs_uplink_wait_ms (uplink, HS_EGRESS_BULK, now)
+           > objective_ms * UPLOAD_WAIT_PERCENT / 100;
+  return priority >= LOW_PRIORITY_MIN
+         && hs_uplink_wait_ms (uplink, HS_EGRESS_SHORT, now)
+                > objective_ms * LOW_PRIORITY_WAIT_PERCENT / 100;
 }
 
 bool
@@ -117,7 +122,7 @@
 
 /* Private definitions.  */
 
-/* Drains the virtual queues and refills the query tokens for the time since
+/* Drains the virtual queue and refills the query tokens for the time since
    the last call.  */
 static void
 advance (struct hs_uplink *uplink, uint64_t now)
@@ -128,12 +133,9 @@
 
   if (now > uplink->last_advanced_at)
     uplink->last_advanced_at = now;
-  for (size_t i = 0; i < HS_UPLINK_DIRECTIONS; i++)
-    {
-      uplink->queued_bytes[i] -= ms * uplink->bytes_per_ms;
-      if (uplink->queued_bytes[i] < 0)
-        uplink->queued_bytes[i] = 0;
-    }
+  uplink->received_bytes -= ms * uplink->bytes_per_ms;
+  if (uplink->received_bytes < 0)
+    uplink->received_bytes = 0;
   uplink->query_tokens += ms * uplink->bytes_per_ms * QUERY_PERCENT
                           / USABLE_PERCENT / QUERY_SIZE;
   if (uplink->query_tokens > QUERY_TOKENS_MAX)
--- a/src/wire/inner.c
+++ b/src/wire/inner.c
@@ -16,9 +16,9 @@
 static const uint8_t field_counts[HS_INNER_TYPE_COUNT] = {
   [HS_INNER_FORWARD] = 5,      [HS_INNER_REFUSED_SYN] = 5,
   [HS_INNER_OWNERSHIP] = 7,    [HS_INNER_LOAD_REPORT] = 15,
-  [HS_INNER_HEARTBEAT] = 10,   [HS_INNER_STATUS] = 7,
+  [HS_INNER_HEARTBEAT] = 10,   [HS_INNER_STATUS] = 6,
   [HS_INNER_FETCH] = 4,        [HS_INNER_CHUNK] = 6,
-  [HS_INNER_LOOKUP_QUERY] = 8,
+  [HS_INNER_LOOKUP_QUERY] = 8, [HS_INNER_LOAD_QUERY] = 1,
 };
 
 /* Private functions.  */
@@ -120,11 +120,10 @@
       break;
     case HS_INNER_STATUS:
       msgpack_pack_uint64 (out, inner->status.configuration_version);
-      msgpack_pack_uint64 (out, inner->status.entries_digest);
-      msgpack_pack_uint8 (out, inner->status.has_entries);
-      msgpack_pack_uint32 (out, inner->status.entries_total);
+      msgpack_pack_uint64 (out, inner->status.agents_digest);
+      msgpack_pack_uint32 (out, inner->status.agents_total);
       pack_addrs (out, &inner->status.control_hosts);
-      pack_addrs (out, &inner->status.entries);
+      pack_addrs (out, &inner->status.agents);
       break;
     case HS_INNER_FETCH:
       msgpack_pack_uint64 (out, inner->chunk.version);
@@ -137,6 +136,7 @@
     case HS_INNER_LOOKUP_QUERY:
       pack_lookup_query (out, &inner->queried_segment);
       break;
+    case HS_INNER_LOAD_QUERY:
     case HS_INNER_NONE:
     case HS_INNER_REPLICA:
     case HS_INNER_TYPE_COUNT:
@@ -170,7 +170,7 @@
   msgpack_pack_uint64 (out, heartbeat->node_id);
   msgpack_pack_uint64 (out, heartbeat->incarnation);
   msgpack_pack_uint64 (out, heartbeat->configuration_version);
-  msgpack_pack_uint64 (out, heartbeat->entries_digest);
+  msgpack_pack_uint8 (out, heartbeat->wants_agents);
   hs_pack_addr (out, &heartbeat->address);
   hs_pack_text (out, heartbeat->name);
   hs_pack_text (out, heartbeat->zone);
@@ -233,11 +233,10 @@
       break;
     case HS_INNER_STATUS:
       inner->status.configuration_version = hs_unpack_uint (in, UINT64_MAX);
-      inner->status.entries_digest = hs_unpack_uint (in, UINT64_MAX);
-      inner->status.has_entries = hs_unpack_uint (in, 1) != 0;
-      inner->status.entries_total = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
+      inner->status.agents_digest = hs_unpack_uint (in, UINT64_MAX);
+      inner->status.agents_total = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
       unpack_addrs (in, &inner->status.control_hosts);
-      unpack_addrs (in, &inner->status.entries);
+      unpack_addrs (in, &inner->status.agents);
       break;
     case HS_INNER_FETCH:
       inner->chunk.version = hs_unpack_uint (in, UINT64_MAX);
@@ -250,6 +249,8 @@
     case HS_INNER_LOOKUP_QUERY:
       unpack_lookup_query (in, &inner->queried_segment);
       break;
+    case HS_INNER_LOAD_QUERY:
+      break;
     case HS_INNER_NONE:
     case HS_INNER_REPLICA:
     case HS_INNER_TYPE_COUNT:
@@ -284,7 +285,7 @@
   heartbeat->node_id = hs_unpack_uint (in, UINT64_MAX);
   heartbeat->incarnation = hs_unpack_uint (in, UINT64_MAX);
   heartbeat->configuration_version = hs_unpack_uint (in, UINT64_MAX);
-  heartbeat->entries_digest = hs_unpack_uint (in, UINT64_MAX);
+  heartbeat->wants_agents = hs_unpack_uint (in, 1) != 0;
   hs_unpack_addr (in, &heartbeat->address);
   hs_unpack_text (in, heartbeat->name, sizeof heartbeat->name);
   hs_unpack_text (in, heartbeat->zone, sizeof heartbeat->zone);
--- a/src/wire/inner.h
+++ b/src/wire/inner.h
@@ -22,7 +22,8 @@
                             ran.  */
   HS_INNER_OWNERSHIP,    /* Agent to entry: lookup answer.  Entry to the
                             flow's directory agent: record the owner.  */
-  HS_INNER_LOAD_REPORT,  /* Agent to entry.  */
+  HS_INNER_LOAD_REPORT,  /* Agent to entry: answer to a LOAD_QUERY, or
+                            notification of a change of state.  */
   HS_INNER_HEARTBEAT,    /* Entry or agent to control.  */
   HS_INNER_STATUS,       /* Control to entry or agent: reply to a heartbeat,
                             or notification of a change.  */
@@ -31,6 +32,7 @@
   HS_INNER_CHUNK,        /* Control to entry: reply to a FETCH.  */
   HS_INNER_REPLICA,      /* Between control hosts: see replica_message.h.  */
   HS_INNER_LOOKUP_QUERY, /* Entry to agent: does it own the flow?  */
+  HS_INNER_LOAD_QUERY,   /* Entry to agent: requests a LOAD_REPORT.  */
   HS_INNER_TYPE_COUNT
 };
 
@@ -57,7 +59,7 @@
   uint64_t node_id; /* hs_id_from_name of the name.  */
   uint64_t incarnation;
   uint64_t configuration_version; /* In force at the sender.  */
-  uint64_t entries_digest; /* Digest of the sender's list of entries.  */
+  bool wants_agents;              /* Entry: requests the list of agents.  */
   struct hs_addr address;
   char name[HS_NAME_SIZE];
   char zone[HS_NAME_SIZE];
@@ -72,12 +74,11 @@
 struct hs_inner_status
 {
   uint64_t configuration_version; /* The newest; 0: none known.  */
-  uint64_t entries_digest;        /* Digest of the list of entries.  */
-  bool has_entries;       /* False: the receiver's list is up to date.  */
-  uint32_t entries_total; /* Length of the whole list, which may take several
-                             messages.  */
+  uint64_t agents_digest;         /* XOR of hs_addr_hash of all agents.  */
+  uint32_t agents_total; /* Length of the whole list, which may take several
+                            messages; 0: AGENTS are new, and not the list.  */
   struct hs_inner_addrs control_hosts;
-  struct hs_inner_addrs entries;
+  struct hs_inner_addrs agents;
 };
 
 struct hs_inner_chunk
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -25,7 +25,7 @@
   struct hs_follower *follower;
   size_t sent_len;
   struct sent sent[SENT_MAX];
-  unsigned int entries_added;
+  unsigned int agents_changed;
   unsigned int lost;          /* Times that the control group was lost.  */
   unsigned int regained;      /* Times that it was regained.  */
   bool rejects_configuration; /* apply_configuration fails.  */
@@ -65,11 +65,11 @@
 }
 
 static void
-on_entries_added (void *ctx)
+on_agents_changed (void *ctx)
 {
   struct node *node = ctx;
 
-  node->entries_added++;
+  node->agents_changed++;
 }
 
 static void
@@ -87,7 +87,7 @@
 node_create (enum hs_role role)
 {
   struct hs_follower_ops ops = { on_send, on_apply_configuration,
-                                 on_entries_added, on_group_lost_changed };
+                                 on_agents_changed, on_group_lost_changed };
   struct hs_inner_heartbeat self = { .role = role, .node_id = 1, .name = "n" };
   struct hs_addrs seeds = { .len = 3 };
   struct node *node = talloc_zero (NULL, struct node);
@@ -102,18 +102,20 @@
 
 static void
 receive_status (struct node *node, uint32_t from, uint64_t version,
-                size_t entries, uint64_t now)
+                size_t agents, uint64_t now)
 {
   struct hs_inner inner = { .type = HS_INNER_STATUS };
   struct hs_addr address = host_addr (from);
 
   inner.status.configuration_version = version;
-  inner.status.entries_digest = 77;
-  inner.status.has_entries = entries > 0;
-  inner.status.entries_total = (uint32_t)entries;
-  inner.status.entries.len = entries;
-  for (uint32_t i = 0; i < entries; i++)
-    inner.status.entries.values[i] = host_addr (100 + i);
+  inner.status.agents_total = (uint32_t)agents;
+  inner.status.agents.len = agents;
+  for (uint32_t i = 0; i < agents; i++)
+    {
+      inner.status.agents.values[i] = host_addr (100 + i);
+      inner.status.agents_digest
+          ^= hs_addr_hash (&inner.status.agents.values[i]);
+    }
   inner.status.control_hosts.len = 5;
   for (uint32_t i = 0; i < 5; i++)
     inner.status.control_hosts.values[i] = host_addr (1 + i);
@@ -347,88 +349,136 @@
   talloc_free (node);
 }
 
-/* A control host that has just started lists few entries: the others stay
-   until they expire.  */
+/* A control host that has just started lists few agents: the others stay until
+   they expire.  */
 static void
-test_entries_survive_short_lists (void)
+test_agents_survive_short_lists (void)
 {
-  struct node *node = node_create (HS_ROLE_AGENT);
+  struct node *node = node_create (HS_ROLE_ENTRY);
 
   receive_status (node, 1, 0, 4, 0);
-  g_assert_cmpuint (hs_follower_entries (node->follower)->len, ==, 4);
-  g_assert_cmpuint (node->entries_added, ==, 1);
+  g_assert_cmpuint (hs_follower_agents (node->follower)->len, ==, 4);
+  g_assert_cmpuint (node->agents_changed, ==, 1);
   for (uint64_t now = 1000; now <= 10000; now += 1000)
     receive_status (node, 2, 0, 1, now);
   hs_follower_tick (node->follower, 10000);
-  g_assert_cmpuint (hs_follower_entries (node->follower)->len, ==, 4);
-  g_assert_cmpuint (node->entries_added, ==, 1);
+  g_assert_cmpuint (hs_follower_agents (node->follower)->len, ==, 4);
+  g_assert_cmpuint (node->agents_changed, ==, 1);
   for (uint64_t now = 11000; now <= 14000; now += 1000)
     receive_status (node, 2, 0, 1, now);
   hs_follower_tick (node->follower, 14000);
-  g_assert_cmpuint (hs_follower_entries (node->follower)->len, ==, 1);
+  g_assert_cmpuint (hs_follower_agents (node->follower)->len, ==, 1);
+  g_assert_cmpuint (node->agents_changed, ==, 2);
   talloc_free (node);
 }
 
-/* Passes the entries of NODES to NODE's follower in as many status messages as
+/* Passes the agents of NODES to NODE's follower in as many status messages as
    they need, except that of index LOST.  */
 static void
-receive_entry_list (struct node *node, const struct hs_node_table *nodes,
+receive_agent_list (struct node *node, const struct hs_node_table *nodes,
                     size_t lost, uint64_t now)
 {
-  size_t total = hs_node_table_count (nodes, HS_ROLE_ENTRY);
+  size_t total = hs_node_table_count (nodes, HS_ROLE_AGENT);
   struct hs_inner inner = { .type = HS_INNER_STATUS };
   struct hs_addr from = host_addr (1);
   size_t sent = 0;
 
-  inner.status.entries_digest = hs_node_table_entries_digest (nodes);
-  inner.status.has_entries = true;
-  inner.status.entries_total = (uint32_t)total;
+  inner.status.agents_digest = hs_node_table_agents_digest (nodes);
+  inner.status.agents_total = (uint32_t)total;
   for (size_t i = 0; sent < total; i++)
     {
-      hs_node_table_list_entries (nodes, sent, &inner.status.entries);
-      g_assert_cmpuint (inner.status.entries.len, >, 0);
-      sent += inner.status.entries.len;
+      hs_node_table_list_agents (nodes, sent, &inner.status.agents);
+      g_assert_cmpuint (inner.status.agents.len, >, 0);
+      sent += inner.status.agents.len;
       if (i != lost)
         hs_follower_receive (node->follower, &from, &inner, now);
     }
 }
 
-/* If one message of a long entry list is lost, the digest is not stored, so
-   that the list is sent again and all entries become known.  */
+/* Returns how many of the heartbeats sent at NOW request the list.  */
+static unsigned int
+count_list_requests (struct node *node, uint64_t now)
+{
+  unsigned int count = 0;
+
+  node->sent_len = 0;
+  hs_follower_tick (node->follower, now);
+  for (size_t i = 0; i < node->sent_len; i++)
+    count += node->sent[i].inner.heartbeat.wants_agents;
+  return count;
+}
+
+/* If one message of a long list of agents is lost, the list is requested
+   again, so that all agents become known.  It is not requested while it is the
+   same as that of the control hosts, and not with every heartbeat.  */
 static void
-test_entry_list_in_several_messages (void)
+test_agent_list_in_several_messages (void)
 {
-  struct node *node = node_create (HS_ROLE_AGENT);
+  struct node *node = node_create (HS_ROLE_ENTRY);
   struct hs_node_table *nodes = hs_node_table_create (node);
-  uint64_t digest;
+  unsigned int requests;
 
   for (uint32_t i = 0; i < 1100; i++)
     {
-      struct hs_inner_heartbeat heartbeat = { .role = HS_ROLE_ENTRY,
+      struct hs_inner_heartbeat heartbeat = { .role = HS_ROLE_AGENT,
                                               .node_id = 1 + i,
                                               .address = host_addr (100 + i) };
 
       hs_node_table_update (nodes, &heartbeat, 0);
     }
-  digest = hs_node_table_entries_digest (nodes);
-  receive_entry_list (node, nodes, 2, 10);
-  g_assert_cmpuint (hs_follower_entries (node->follower)->len, ==,
+  hs_follower_set_version (node->follower, 1);
+  requests = count_list_requests (node, 1);
+  g_assert_cmpuint (requests, >, 0);
+  receive_agent_list (node, nodes, 2, 10);
+  g_assert_cmpuint (hs_follower_agents (node->follower)->len, ==,
                     1100 - HS_INNER_ADDRS_MAX);
-  hs_follower_tick (node->follower, 500);
-  g_assert_cmpuint (node->sent[0].inner.heartbeat.entries_digest, !=, digest);
-  receive_entry_list (node, nodes, SIZE_MAX, 510);
-  g_assert_cmpuint (hs_follower_entries (node->follower)->len, ==, 1100);
-  node->sent_len = 0;
-  hs_follower_tick (node->follower, 1100);
-  g_assert_cmpuint (node->sent[0].inner.heartbeat.entries_digest, ==, digest);
+  requests = count_list_requests (node, 510);
+  g_assert_cmpuint (requests, ==, 1);
+  receive_agent_list (node, nodes, SIZE_MAX, 520);
+  g_assert_cmpuint (hs_follower_agents (node->follower)->len, ==, 1100);
+  requests = 0;
+  for (uint64_t now = 1100; now < 10000; now += 500)
+    requests += count_list_requests (node, now);
+  g_assert_cmpuint (requests, ==, 0);
   talloc_free (node);
 }
 
-/* While no control host replies, the known entries are kept.  */
+/* A notification adds a new agent without the whole list.  Control hosts that
+   have not heard of it yet have another digest: the list is not requested
+   until that has lasted, and then every two seconds.  */
+static void
+test_notified_of_new_agent (void)
+{
+  struct node *node = node_create (HS_ROLE_ENTRY);
+  struct hs_inner inner = { .type = HS_INNER_STATUS };
+  struct hs_addr from = host_addr (1);
+  unsigned int requests = 0;
+
+  hs_follower_set_version (node->follower, 1);
+  hs_follower_tick (node->follower, 1);
+  receive_status (node, 1, 1, 3, 10);
+  for (uint64_t now = 500; now < 7000; now += 500)
+    requests += count_list_requests (node, now);
+  inner.status.configuration_version = 1;
+  inner.status.agents.len = 1;
+  inner.status.agents.values[0] = host_addr (200);
+  hs_follower_receive (node->follower, &from, &inner, 7000);
+  g_assert_cmpuint (hs_follower_agents (node->follower)->len, ==, 4);
+  g_assert_cmpuint (node->agents_changed, ==, 2);
+  requests += count_list_requests (node, 7400);
+  g_assert_cmpuint (requests, ==, 0);
+  for (uint64_t now = 8000; now < 16000; now += 500)
+    requests += count_list_requests (node, now);
+  g_assert_cmpuint (requests, >=, 3);
+  g_assert_cmpuint (requests, <=, 4);
+  talloc_free (node);
+}
+
+/* While no control host replies, the known agents are kept.  */
 static void
 test_silent_group (void)
 {
-  struct node *node = node_create (HS_ROLE_AGENT);
+  struct node *node = node_create (HS_ROLE_ENTRY);
 
   receive_status (node, 1, 0, 2, 1);
   for (uint64_t now = 500; now <= 60000; now += 500)
@@ -436,7 +486,7 @@
       node->sent_len = 0;
       hs_follower_tick (node->follower, now);
     }
-  g_assert_cmpuint (hs_follower_entries (node->follower)->len, ==, 2);
+  g_assert_cmpuint (hs_follower_agents (node->follower)->len, ==, 2);
   g_assert_cmpuint (node->lost, ==, 1);
   receive_status (node, 3, 0, 2, 60100);
   node->sent_len = 0;
@@ -445,6 +495,20 @@
   talloc_free (node);
 }
 
+/* Agents need neither the configuration nor the list.  */
+static void
+test_agent_keeps_no_list (void)
+{
+  struct node *node = node_create (HS_ROLE_AGENT);
+  unsigned int requests = count_list_requests (node, 1);
+
+  receive_status (node, 1, 0, 2, 10);
+  g_assert_cmpuint (hs_follower_agents (node->follower)->len, ==, 0);
+  requests += count_list_requests (node, 2000);
+  g_assert_cmpuint (requests, ==, 0);
+  talloc_free (node);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -464,9 +528,11 @@
                    test_fetch_from_another_host);
   g_test_add_func ("/follower/newer-version",
                    test_newer_version_while_fetching);
-  g_test_add_func ("/follower/short-lists", test_entries_survive_short_lists);
+  g_test_add_func ("/follower/short-lists", test_agents_survive_short_lists);
   g_test_add_func ("/follower/list-in-several-messages",
-                   test_entry_list_in_several_messages);
+                   test_agent_list_in_several_messages);
+  g_test_add_func ("/follower/new-agent", test_notified_of_new_agent);
+  g_test_add_func ("/follower/agent-keeps-no-list", test_agent_keeps_no_list);
   g_test_add_func ("/follower/silent-group", test_silent_group);
   return g_test_run ();
 }
--- a/tests/test_inner.c
+++ b/tests/test_inner.c
@@ -15,7 +15,7 @@
 
 #define MUTATIONS 100000
 #define DATA_SIZE 4096
-#define SAMPLES 13
+#define SAMPLES 14
 
 struct sample
 {
@@ -79,21 +79,20 @@
                                          .node_id = 1,
                                          .incarnation = 2,
                                          .configuration_version = 3,
-                                         .entries_digest = 4,
+                                         .wants_agents = true,
                                          .address = sample_addr (5),
                                          .name = "entry-1",
                                          .zone = "sic-ragusa" };
       break;
     case HS_INNER_STATUS:
       inner.status.configuration_version = 5;
-      inner.status.entries_digest = 6;
-      inner.status.has_entries = true;
-      inner.status.entries_total = 90;
+      inner.status.agents_digest = 6;
+      inner.status.agents_total = 90;
       inner.status.control_hosts.len = 2;
       inner.status.control_hosts.values[0] = sample_addr (1);
       inner.status.control_hosts.values[1] = sample_addr (2);
-      inner.status.entries.len = 1;
-      inner.status.entries.values[0] = sample_addr (3);
+      inner.status.agents.len = 1;
+      inner.status.agents.values[0] = sample_addr (3);
       break;
     case HS_INNER_FETCH:
       inner.chunk.version = 7;
@@ -108,6 +107,7 @@
       inner.chunk.len = 3;
       memcpy (inner.chunk.bytes, "abc", 3);
       break;
+    case HS_INNER_LOAD_QUERY:
     case HS_INNER_NONE:
     case HS_INNER_REPLICA:
     case HS_INNER_TYPE_COUNT:
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -57,6 +57,7 @@
   void *root;
   struct hs_routing *routing;
   struct hs_agent_pool *pool;
+  struct hs_egress *egress;
   struct hs_uplink *uplink;
   struct hs_forwarder *forwarder;
   struct resets *resets; /* Points into calls.  */
@@ -162,6 +163,25 @@
   calls->recorded_owner_id = agent_id;
 }
 
+static void
+ignore_sent (void *ctx, const struct hs_addr *to, const uint8_t *data,
+             size_t len)
+{
+  (void)ctx;
+  (void)to;
+  (void)data;
+  (void)len;
+}
+
+static struct hs_uplink *
+create_uplink (void *root, double mbit_per_s, struct hs_egress **egress)
+{
+  struct hs_egress_ops ops = { ignore_sent };
+
+  *egress = hs_egress_create (root, mbit_per_s, &ops, NULL);
+  return hs_uplink_create (root, mbit_per_s, *egress);
+}
+
 /* The entry's uplink carries 8 Mbit/s.  */
 static struct entry
 entry_create (uint64_t now)
@@ -177,7 +197,7 @@
   entry.pool = hs_agent_pool_create (entry.root, "a");
   entry.calls = talloc_zero (entry.root, struct forwarder_calls);
   entry.resets = &entry.calls->resets;
-  entry.uplink = hs_uplink_create (entry.root, 8);
+  entry.uplink = create_uplink (entry.root, 8, &entry.egress);
   entry.forwarder = hs_forwarder_create (entry.root, entry.pool, entry.uplink,
                                          &ops, entry.calls);
   hs_forwarder_set_routing (entry.forwarder, entry.routing);
@@ -537,8 +557,14 @@
   g_assert_cmpuint (hs_agent_pool_place_flow (entry.pool, alpha, NULL, 0, 10)
                         ->report.agent_id,
                     ==, hs_id_from_name ("z"));
+  g_assert_nonnull (
+      hs_agent_pool_place_flow (entry.pool, alpha, NULL, 0, 5000));
+  hs_agent_pool_mark_queried (entry.pool, hs_id_from_name ("z"), 10);
+  hs_agent_pool_mark_queried (entry.pool, hs_id_from_name ("z"), 200);
+  g_assert_nonnull (hs_agent_pool_place_flow (entry.pool, alpha, NULL, 0,
+                                              10 + HS_ANSWER_TIMEOUT_MS));
   g_assert_null (hs_agent_pool_place_flow (entry.pool, alpha, NULL, 0,
-                                           11 + HS_REPORT_TIMEOUT_MS));
+                                           11 + HS_ANSWER_TIMEOUT_MS));
   g_assert_null (hs_agent_pool_place_flow (entry.pool, hs_id_from_name (BETA),
                                            NULL, 0, 10));
   hs_agent_pool_expire (entry.pool, 11 + HS_POOL_AGENT_EXPIRY_MS);
@@ -912,40 +938,64 @@
   talloc_free (entry.root);
 }
 
-/* A nearly full uplink refuses uploads first, then flows of low priority, and
-   accepts them again once its queue has drained.  */
+/* A flow is refused if it would wait for the uplink for too large a share of
+   its latency objective: first uploads, then flows of low priority.  It is
+   accepted again once the queue has drained.  */
 static void
 test_full_uplink_refuses_flows (void)
 {
   void *root = talloc_new (NULL);
-  struct hs_uplink *uplink = hs_uplink_create (root, 8);
-  struct hs_uplink *unlimited = hs_uplink_create (root, 0);
+  struct hs_egress *egress;
+  struct hs_egress *unlimited_egress;
+  struct hs_uplink *uplink = create_uplink (root, 8, &egress);
+  struct hs_uplink *unlimited = create_uplink (root, 0, &unlimited_egress);
 
   for (int i = 0; i < 60; i++)
     {
       g_assert_false (hs_uplink_refuses_flow (
-          uplink, HS_REQUEST_CLASS_IDEMPOTENT, 2, 100));
-      hs_uplink_count (uplink, HS_UPLINK_OUT, 1172, 100);
-      hs_uplink_count (unlimited, HS_UPLINK_OUT, 1172, 100);
+          uplink, HS_REQUEST_CLASS_IDEMPOTENT, 300, 2, 100));
+      hs_egress_count (egress, 1194, 100);
+      hs_egress_count (unlimited_egress, 1194, 100);
     }
-  /* 60 datagrams of 1200 bytes with headers, at 750 bytes/ms.  */
-  g_assert_cmpuint (hs_uplink_queue_ms (uplink, 100), ==, 96);
+  /* 60 datagrams of 1260 bytes on the link, at 970 bytes/ms.  */
+  g_assert_cmpuint (hs_uplink_wait_ms (uplink, HS_EGRESS_SHORT, 100), ==, 77);
   g_assert_true (
-      hs_uplink_refuses_flow (uplink, HS_REQUEST_CLASS_UPLOAD, 0, 100));
+      hs_uplink_refuses_flow (uplink, HS_REQUEST_CLASS_UPLOAD, 300, 0, 100));
   g_assert_false (
-      hs_uplink_refuses_flow (unlimited, HS_REQUEST_CLASS_UPLOAD, 2, 100));
+      hs_uplink_refuses_flow (uplink, HS_REQUEST_CLASS_UPLOAD, 320, 0, 100));
+  g_assert_false (hs_uplink_refuses_flow (unlimited, HS_REQUEST_CLASS_UPLOAD,
+                                          300, 2, 100));
   for (int i = 0; i < 60; i++)
-    hs_uplink_count (uplink, HS_UPLINK_OUT, 1172, 100);
-  g_assert_true (
-      hs_uplink_refuses_flow (uplink, HS_REQUEST_CLASS_IDEMPOTENT, 2, 100));
+    hs_egress_count (egress, 1194, 100);
+  g_assert_true (hs_uplink_refuses_flow (uplink, HS_REQUEST_CLASS_IDEMPOTENT,
+                                         300, 2, 100));
   g_assert_false (
-      hs_uplink_refuses_flow (uplink, HS_REQUEST_CLASS_ONCE, 1, 100));
+      hs_uplink_refuses_flow (uplink, HS_REQUEST_CLASS_ONCE, 300, 1, 100));
+  g_assert_false (hs_uplink_refuses_flow (uplink, HS_REQUEST_CLASS_IDEMPOTENT,
+                                          300, 2, 150));
+  g_assert_true (
+      hs_uplink_refuses_flow (uplink, HS_REQUEST_CLASS_UPLOAD, 300, 2, 150));
   g_assert_false (
-      hs_uplink_refuses_flow (uplink, HS_REQUEST_CLASS_IDEMPOTENT, 2, 150));
+      hs_uplink_refuses_flow (uplink, HS_REQUEST_CLASS_UPLOAD, 300, 2, 250));
+  talloc_free (root);
+}
+
+/* What the entry receives fills the uplink as well.  */
+static void
+test_received_bytes_refuse_uploads (void)
+{
+  void *root = talloc_new (NULL);
+  struct hs_egress *egress;
+  struct hs_uplink *uplink = create_uplink (root, 8, &egress);
+
+  for (int i = 0; i < 60; i++)
+    hs_uplink_count_received (uplink, 1172, 100);
+  /* 60 datagrams of 1200 bytes with headers, at 750 bytes/ms.  */
+  g_assert_cmpuint (hs_uplink_wait_ms (uplink, HS_EGRESS_BULK, 100), ==, 96);
   g_assert_true (
-      hs_uplink_refuses_flow (uplink, HS_REQUEST_CLASS_UPLOAD, 2, 150));
+      hs_uplink_refuses_flow (uplink, HS_REQUEST_CLASS_UPLOAD, 300, 0, 100));
   g_assert_false (
-      hs_uplink_refuses_flow (uplink, HS_REQUEST_CLASS_UPLOAD, 2, 250));
+      hs_uplink_refuses_flow (uplink, HS_REQUEST_CLASS_UPLOAD, 300, 0, 130));
   talloc_free (root);
 }
 
@@ -957,7 +1007,7 @@
   struct hs_forward_decision decision;
 
   for (int i = 0; i < 120; i++)
-    hs_uplink_count (entry.uplink, HS_UPLINK_IN, 1172, 0);
+    hs_uplink_count_received (entry.uplink, 1172, 0);
   syn.to.port = 8443;
   decision = hs_forwarder_route (entry.forwarder, &syn, 0);
   g_assert_cmpint (decision.action, ==, HS_FORWARD_RESET);
@@ -1072,7 +1122,7 @@
   talloc_free (entry.root);
 }
 
-/* A lookup doesn't wait for an agent that has stopped reporting after its
+/* A lookup doesn't wait for an agent that has stopped answering after its
    upstream was silent.  */
 static void
 test_silent_agent_not_queried (void)
@@ -1081,6 +1131,7 @@
   struct hs_segment data = make_segment (HS_SEGMENT_ACK, 9, 101, 501, 50);
 
   report_load (&entry, "z", "b", HS_AGENT_UPSTREAM_SILENT, 0, 1);
+  hs_agent_pool_mark_queried (entry.pool, hs_id_from_name ("z"), 100);
   hs_forwarder_route (entry.forwarder, &data, 2);
   hs_forwarder_tick (entry.forwarder, 52);
   hs_forwarder_tick (entry.forwarder, 152);
@@ -1663,6 +1714,8 @@
                    test_stale_directory_entry);
   g_test_add_func ("/segment/directory", test_directory);
   g_test_add_func ("/segment/full-uplink", test_full_uplink_refuses_flows);
+  g_test_add_func ("/segment/received-bytes",
+                   test_received_bytes_refuse_uploads);
   g_test_add_func ("/segment/syn-reset-on-full-uplink",
                    test_syn_reset_on_full_uplink);
   g_test_add_func ("/segment/unknown-answer",
