Look up owners at three directory agents before all, tell entries only of agents that stop

Change: three agents keep a flow's directory entry; an active flow is recorded again when they change; the two backups are asked before the zone; an agent that does not know gets no segment until all three have answered; queries to directory agents may be sent on credit; a first round that the uplink refused is sent again in the same scope. Queries wait behind short requests and before uploads. Up to 1,024 agents are asked for one flow, in place of 256.

Tests: backup-directory, unknown-at-directories, recorded-at-new-directory, refused-round, queries-on-credit, each of which the code before fails; counts of queries in test_segment follow the added round.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -1196,13 +1196,16 @@
 /* Egress queue: the datagrams that wait at an entry until its uplink, the
    network link of its host, can carry them.  */
 
-#define HS_EGRESS_QUEUE_MAX 256 /* Datagrams of a class.  */
+/* Datagrams of a class.  */
+#define HS_EGRESS_QUEUE_MAX 256
+#define HS_EGRESS_QUERY_QUEUE_MAX HS_LOOKUP_AGENTS_MAX
 
 /* Datagrams of a class are sent in order, and before those of the classes
    after it.  */
 enum hs_egress_class
 {
-  HS_EGRESS_SHORT, /* Short requests, and the SYNs of all flows.  */
+  HS_EGRESS_SHORT, /* Segments of short requests, and the SYNs of all flows. */
+  HS_EGRESS_QUERY, /* Queries to agents.  */
   HS_EGRESS_BULK,  /* Other segments of uploads.  */
   HS_EGRESS_CLASSES
 };
@@ -1286,14 +1289,15 @@
                              uint32_t slo_ms, uint32_t priority, uint64_t now);
 
 /* Takes LEN tokens, one for each lookup query.  If any token is left, all LEN
-   are taken, and the number left may become negative.  Returns false, and
-   takes none, if no token is left: no query may be sent now.  */
+   are taken, and the number left may become negative.  IS_NARROW: the queries
+   go to directory agents only, and may take some tokens on credit.  Returns
+   false, and takes none, if no token is left: no query may be sent now.  */
 bool hs_uplink_take_query_tokens (struct hs_uplink *uplink, size_t len,
-                                  uint64_t now);
+                                  bool is_narrow, uint64_t now);
 
 /* Forwarder: decides what an entry does with a segment of a caller.  */
 
-#define HS_LOOKUP_AGENTS_MAX 256     /* Agents queried for one flow.  */
+#define HS_LOOKUP_AGENTS_MAX 1024    /* Agents queried for one flow.  */
 #define HS_SYN_AGENTS_MAX 4          /* Agents that one SYN is sent to.  */
 #define HS_FORWARDER_FLOWS_MAX 65536 /* Flows in the table of an entry.  */
 
--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -664,8 +664,10 @@
                 (json_int_t)decision->response_ms);
 }
 
-/* Sends a load report to every entry that has asked for one recently, since
-   the state has changed.  The others are told when they ask next.  */
+/* Sends a load report to every entry that has asked for one recently, if this
+   agent no longer accepts flows.  That it does again is left for the entries
+   to find out, one after the other: told all at once, each of them would place
+   its next flow here.  */
 static void
 notify_entries (struct hs_segment_agent *agent)
 {
@@ -673,7 +675,8 @@
 
   hs_sidecar_fill_load_report (agent->sidecar, &load);
   agent->reported_state = load.state;
-  hs_load_queriers_foreach (agent->load_queriers, send_load_report, agent);
+  if (load.state != HS_AGENT_READY)
+    hs_load_queriers_foreach (agent->load_queriers, send_load_report, agent);
 }
 
 static void
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -626,12 +626,12 @@
   uint8_t bytes[HS_INNER_SIZE_MAX];
   size_t len = hs_inner_encode (message, bytes);
 
-  if (hs_egress_take (entry->egress, HS_EGRESS_SHORT, len, now))
+  if (hs_egress_take (entry->egress, HS_EGRESS_QUERY, len, now))
     {
       hs_segment_node_send (entry->node, to, message);
       return;
     }
-  if (!hs_egress_queue (entry->egress, HS_EGRESS_SHORT, 0, to, bytes, len))
+  if (!hs_egress_queue (entry->egress, HS_EGRESS_QUERY, 0, to, bytes, len))
     hs_counter_add (entry->metrics.dropped, 1);
   start_egress_timer (entry);
 }
--- a/src/segment/egress.c
+++ b/src/segment/egress.c
@@ -137,10 +137,12 @@
                  size_t len)
 {
   struct egress_queue *queue = &egress->queues[class];
+  size_t len_max = class == HS_EGRESS_QUERY ? HS_EGRESS_QUERY_QUEUE_MAX
+                                            : HS_EGRESS_QUEUE_MAX;
   struct queued_datagram *datagram
       = tag != 0 ? find_datagram (queue, tag, to, len) : NULL;
 
-  if (datagram == NULL && queue->len >= HS_EGRESS_QUEUE_MAX)
+  if (datagram == NULL && queue->len >= len_max)
     return false;
   if (datagram == NULL)
     {
--- a/src/segment/forwarder.c
+++ b/src/segment/forwarder.c
@@ -28,6 +28,10 @@
    ended by then and need no directory entry.  */
 #define RECORD_OWNER_AFTER_MS 500
 
+/* Interval at which it is checked whether the directory agents of an active
+   flow have changed.  */
+#define RECORD_CHECK_INTERVAL_MS 1000
+
 /* Private functions.  */
 
 static struct hs_forward_decision route_syn (struct hs_forwarder *forwarder,
@@ -120,7 +124,10 @@
   if (flow->owner_id != 0
       && hs_agent_pool_find (forwarder->pool, flow->owner_id) != NULL)
     {
-      if (!flow->is_recorded && now - flow->opened_at >= RECORD_OWNER_AFTER_MS)
+      if (now - flow->opened_at >= RECORD_OWNER_AFTER_MS
+          && (flow->directories_checked_at == 0
+              || now - flow->directories_checked_at
+                     >= RECORD_CHECK_INTERVAL_MS))
         hs_owner_lookup_record_owner (forwarder, flow, now);
       return forward_to_owner (forwarder, flow);
     }
@@ -242,7 +249,8 @@
   flow->syn_agent_ids_len = 0;
   flow->non_owner_ids_len = 0;
   flow->opened_at = now;
-  flow->is_recorded = false;
+  flow->directories_digest = 0;
+  flow->directories_checked_at = 0;
   flow->is_unowned = false;
   hs_owner_lookup_stop (flow);
   return place_flow (forwarder, flow, now);
--- a/src/segment/forwarder_state.h
+++ b/src/segment/forwarder_state.h
@@ -12,19 +12,25 @@
    the first scope and widens it step by step.  */
 enum lookup_scope
 {
-  LOOKUP_DIRECTORY, /* The directory agent of the flow.  */
-  LOOKUP_ZONE,      /* Agents of the entry's availability zone.  */
+  LOOKUP_DIRECTORY,          /* The directory agent of the flow.  */
+  LOOKUP_BACKUP_DIRECTORIES, /* Its backups, the next in the ranking.  */
+  LOOKUP_ZONE,               /* Agents of the entry's availability zone.  */
   LOOKUP_ALL
 };
 
+/* Agents that keep the directory entry of a flow.  With one, a flow would have
+   to be looked up at all agents once an agent that starts ranks first.  */
+#define DIRECTORIES_MAX 3
+
 struct hs_forwarder_flow
 {
   struct hs_segment_flow base;
   uint64_t owner_id;  /* 0: not known.  */
   uint64_t opened_at; /* ms, of the latest SYN that was not a retransmission;
                          0: none was seen here.  */
-  bool is_recorded;   /* The owner was reported to the directory agent, or was
-                         found there.  */
+  uint64_t directories_digest;     /* XOR of the ids of the agents that the
+                                      owner was recorded at; 0: none.  */
+  uint64_t directories_checked_at; /* ms, when it was last compared.  */
   uint64_t service_id;
   enum hs_request_class request_class; /* Taken from the route.  */
   uint32_t slo_ms;                     /* Latency objective of the route.  */
@@ -47,6 +53,10 @@
   uint32_t caller_ack;
   uint64_t lookup_service_id; /* Only agents of this service are queried; 0: of
                                  every service.  */
+  size_t unknown_ids_len;
+  uint64_t unknown_ids[DIRECTORIES_MAX]; /* Directory agents that have no entry
+                                            and do not know whether they own
+                                            the flow.  */
   size_t non_owner_ids_len;
   uint64_t *non_owner_ids; /* Agents that do not own the flow.  A child of the
                               flow.  */
@@ -96,7 +106,8 @@
                                struct hs_forwarder_flow *flow,
                                const struct hs_segment *segment, uint64_t now);
 
-/* Reports the flow's owner to its directory agent.  */
+/* Reports the flow's owner to its directory agents, unless it was recorded at
+   the same agents before.  */
 void hs_owner_lookup_record_owner (struct hs_forwarder *forwarder,
                                    struct hs_forwarder_flow *flow,
                                    uint64_t now);
--- a/src/segment/owner_lookup.c
+++ b/src/segment/owner_lookup.c
@@ -2,8 +2,9 @@
 
    The flow's directory agent is queried first: the first agent in the
    rendezvous ranking of the flow, to which entries report the owners of
-   long-lived flows.  Then the agents of the entry's availability zone are
-   queried, and finally all agents.
+   long-lived flows; then its backups, the next in the ranking, as the first
+   may have been started after the report.  Then the agents of the entry's
+   availability zone are queried, and finally all agents.
 
    The load is highest when an entry has stopped and its flows come to the
    other entries all at once, and after a power failure, when every flow is
@@ -21,12 +22,20 @@
 #define QUERY_RETRY_MS 50
 
 /* Rounds after which a lookup ends until the caller sends another segment.  */
-#define QUERY_ROUNDS_MAX 5
+#define QUERY_ROUNDS_MAX 6
 
 /* Time for which segments of a flow without an owner are reset without another
    lookup.  */
 #define UNOWNED_TTL_MS 1500
 
+/* The directory agent of a flow and its backups, by rank.  */
+struct directories
+{
+  size_t len;
+  const struct hs_pool_agent *agents[DIRECTORIES_MAX];
+  uint64_t scores[DIRECTORIES_MAX];
+};
+
 /* Private functions.  */
 
 static size_t send_queries (struct hs_forwarder *forwarder,
@@ -39,12 +48,15 @@
                                struct hs_forwarder_flow *flow, uint64_t now);
 static void set_lookup_service (const struct hs_forwarder *forwarder,
                                 struct hs_forwarder_flow *flow);
-static const struct hs_pool_agent *
-directory_of (const struct hs_forwarder_flow *flow,
-              const struct hs_pool_agent **agents, size_t len);
+static struct directories
+find_directories (const struct hs_forwarder_flow *flow,
+                  const struct hs_pool_agent **agents, size_t len);
 static bool is_in_scope (enum lookup_scope scope,
                          const struct hs_pool_agent *agent,
-                         const struct hs_pool_agent *directory);
+                         const struct directories *directories);
+static bool is_narrow (enum lookup_scope scope);
+static bool has_answered (const struct hs_forwarder_flow *flow,
+                          uint64_t agent_id);
 static struct hs_segment latest_segment (const struct hs_forwarder_flow *flow);
 static bool is_non_owner (const struct hs_forwarder_flow *flow,
                           uint64_t agent_id);
@@ -69,9 +81,9 @@
   if (!flow->lookup_active || agent == NULL)
     return;
   hs_owner_lookup_stop (flow);
+  flow->directories_digest = 0;
   if (flow->scope != LOOKUP_DIRECTORY)
     hs_owner_lookup_record_owner (forwarder, flow, now);
-  flow->is_recorded = true;
   forwarder->ops.send_pending (forwarder->ctx, key, agent, false);
 }
 
@@ -105,6 +117,9 @@
     hs_owner_lookup_reset_if_unowned (forwarder, flow, now);
 }
 
+/* In the narrow scopes, the agent is treated as one without a directory entry:
+   another directory agent may name the owner.  If none does, the agent is
+   queried again in a wider scope, and gets the queued segments then.  */
 void
 hs_forwarder_handle_unknown (struct hs_forwarder *forwarder,
                              const struct hs_segment_key *key,
@@ -117,9 +132,16 @@
 
   if (flow == NULL || !flow->lookup_active)
     return;
-  if (agent != NULL)
-    forwarder->ops.send_pending (forwarder->ctx, key, agent, true);
-  if (flow->scope == LOOKUP_DIRECTORY)
+  if (!is_narrow (flow->scope))
+    {
+      if (agent != NULL)
+        forwarder->ops.send_pending (forwarder->ctx, key, agent, true);
+      return;
+    }
+  if (!has_answered (flow, agent_id)
+      && flow->unknown_ids_len < DIRECTORIES_MAX)
+    flow->unknown_ids[flow->unknown_ids_len++] = agent_id;
+  if (has_no_owner (forwarder, flow, flow->scope, now))
     query_wider_scope (forwarder, flow, now);
 }
 
@@ -140,7 +162,7 @@
     return;
   if (agent == NULL || is_non_owner (flow, owner_id))
     {
-      if (flow->scope == LOOKUP_DIRECTORY)
+      if (is_narrow (flow->scope))
         query_wider_scope (forwarder, flow, now);
       return;
     }
@@ -168,6 +190,7 @@
   flow->owner_id = 0;
   flow->syn_agent_ids_len = 0;
   flow->non_owner_ids_len = 0;
+  flow->unknown_ids_len = 0;
   flow->scope = LOOKUP_DIRECTORY;
   flow->recorded_owner_id = 0;
   flow->query_rounds = 0;
@@ -185,18 +208,25 @@
                               struct hs_forwarder_flow *flow, uint64_t now)
 {
   const struct hs_pool_agent *agents[HS_LOOKUP_AGENTS_MAX];
-  const struct hs_pool_agent *directory;
+  struct directories directories;
+  uint64_t digest = 0;
   size_t len;
 
-  flow->is_recorded = true;
+  flow->directories_checked_at = now;
   set_lookup_service (forwarder, flow);
   len = hs_agent_pool_possible_owners (forwarder->pool,
                                        flow->lookup_service_id, agents,
                                        HS_LOOKUP_AGENTS_MAX, now);
-  directory = directory_of (flow, agents, len);
-  if (directory != NULL && directory->report.agent_id != flow->owner_id)
-    forwarder->ops.record_owner (forwarder->ctx, directory, &flow->base.key,
-                                 flow->owner_id);
+  directories = find_directories (flow, agents, len);
+  for (size_t i = 0; i < directories.len; i++)
+    digest ^= directories.agents[i]->report.agent_id;
+  if (digest == flow->directories_digest)
+    return;
+  flow->directories_digest = digest;
+  for (size_t i = 0; i < directories.len; i++)
+    if (directories.agents[i]->report.agent_id != flow->owner_id)
+      forwarder->ops.record_owner (forwarder->ctx, directories.agents[i],
+                                   &flow->base.key, flow->owner_id);
 }
 
 void
@@ -240,7 +270,10 @@
 
       if (now - flow->queried_at < wait_ms)
         continue;
-      if (flow->query_rounds < QUERY_ROUNDS_MAX)
+      /* No query has been sent yet if the uplink refused the first round.  */
+      if (flow->query_rounds == 0)
+        send_queries (forwarder, flow, now);
+      else if (flow->query_rounds < QUERY_ROUNDS_MAX)
         query_wider_scope (forwarder, flow, now);
       else
         hs_owner_lookup_stop (flow);
@@ -266,7 +299,8 @@
       len = collect_agents (forwarder, flow, to_query, now);
     }
   flow->queried_at = now;
-  if (!hs_uplink_take_query_tokens (forwarder->uplink, len, now))
+  if (!hs_uplink_take_query_tokens (forwarder->uplink, len,
+                                    is_narrow (flow->scope), now))
     return len;
   flow->query_rounds++;
   for (size_t i = 0; i < len; i++)
@@ -285,11 +319,11 @@
   size_t len = hs_agent_pool_possible_owners (forwarder->pool,
                                               flow->lookup_service_id, agents,
                                               HS_LOOKUP_AGENTS_MAX, now);
-  const struct hs_pool_agent *directory = directory_of (flow, agents, len);
+  struct directories directories = find_directories (flow, agents, len);
   size_t to_query_len = 0;
 
   for (size_t i = 0; i < len; i++)
-    if (is_in_scope (flow->scope, agents[i], directory)
+    if (is_in_scope (flow->scope, agents[i], &directories)
         && !is_non_owner (flow, agents[i]->report.agent_id))
       to_query[to_query_len++] = agents[i];
   return to_query_len;
@@ -324,36 +358,50 @@
       = rule != NULL && rule->splits_len == 1 ? rule->splits[0].service_id : 0;
 }
 
-/* Returns the agent with the highest rendezvous score, which is the same at
-   every entry that knows the same agents, or NULL if LEN is 0.  */
-static const struct hs_pool_agent *
-directory_of (const struct hs_forwarder_flow *flow,
-              const struct hs_pool_agent **agents, size_t len)
+/* Returns the agents with the highest rendezvous scores, which are the same at
+   every entry that knows the same agents.  */
+static struct directories
+find_directories (const struct hs_forwarder_flow *flow,
+                  const struct hs_pool_agent **agents, size_t len)
 {
-  const struct hs_pool_agent *directory = NULL;
-  uint64_t best = 0;
+  struct directories directories = { .len = 0 };
 
   for (size_t i = 0; i < len; i++)
     {
       uint64_t score = hs_rendezvous_score (flow->base.node.hash,
                                             agents[i]->report.agent_id);
+      size_t rank = directories.len;
 
-      if (directory != NULL && score <= best)
+      while (rank > 0 && score > directories.scores[rank - 1])
+        rank--;
+      if (rank == DIRECTORIES_MAX)
         continue;
-      directory = agents[i];
-      best = score;
+      if (directories.len < DIRECTORIES_MAX)
+        directories.len++;
+      for (size_t k = directories.len - 1; k > rank; k--)
+        {
+          directories.agents[k] = directories.agents[k - 1];
+          directories.scores[k] = directories.scores[k - 1];
+        }
+      directories.agents[rank] = agents[i];
+      directories.scores[rank] = score;
     }
-  return directory;
+  return directories;
 }
 
 static bool
 is_in_scope (enum lookup_scope scope, const struct hs_pool_agent *agent,
-             const struct hs_pool_agent *directory)
+             const struct directories *directories)
 {
   switch (scope)
     {
     case LOOKUP_DIRECTORY:
-      return agent == directory;
+      return directories->len > 0 && agent == directories->agents[0];
+    case LOOKUP_BACKUP_DIRECTORIES:
+      for (size_t i = 1; i < directories->len; i++)
+        if (agent == directories->agents[i])
+          return true;
+      return false;
     case LOOKUP_ZONE:
       return agent->is_same_zone;
     case LOOKUP_ALL:
@@ -362,6 +410,13 @@
   return true;
 }
 
+/* Returns whether only directory agents are in SCOPE.  */
+static bool
+is_narrow (enum lookup_scope scope)
+{
+  return scope == LOOKUP_DIRECTORY || scope == LOOKUP_BACKUP_DIRECTORIES;
+}
+
 /* Returns the caller's latest segment, without payload.  */
 static struct hs_segment
 latest_segment (const struct hs_forwarder_flow *flow)
@@ -382,10 +437,22 @@
   return false;
 }
 
+/* Returns whether the agent has answered that it does not own the flow or, as
+   a directory agent, that it does not know.  */
+static bool
+has_answered (const struct hs_forwarder_flow *flow, uint64_t agent_id)
+{
+  for (size_t i = 0; i < flow->unknown_ids_len; i++)
+    if (flow->unknown_ids[i] == agent_id)
+      return true;
+  return is_non_owner (flow, agent_id);
+}
+
 /* Returns whether all possible owners in SCOPE have answered that they do not
-   own the flow.  An agent that is silent at present may be a possible owner,
-   too.  Returns false if there are no possible owners, or HS_LOOKUP_AGENTS_MAX
-   of them, since there may be more.  */
+   own the flow or, in a narrow scope, that they do not know the owner.  An
+   agent that is silent at present may be a possible owner, too.  Returns false
+   if there are no possible owners, or HS_LOOKUP_AGENTS_MAX of them, since
+   there may be more.  */
 static bool
 has_no_owner (const struct hs_forwarder *forwarder,
               const struct hs_forwarder_flow *flow, enum lookup_scope scope,
@@ -395,11 +462,16 @@
   size_t len = hs_agent_pool_possible_owners (forwarder->pool,
                                               flow->lookup_service_id, agents,
                                               HS_LOOKUP_AGENTS_MAX, now);
-  const struct hs_pool_agent *directory = directory_of (flow, agents, len);
+  struct directories directories = find_directories (flow, agents, len);
 
   for (size_t i = 0; i < len; i++)
-    if (is_in_scope (scope, agents[i], directory)
-        && !is_non_owner (flow, agents[i]->report.agent_id))
-      return false;
+    {
+      uint64_t agent_id = agents[i]->report.agent_id;
+
+      if (is_in_scope (scope, agents[i], &directories)
+          && !(is_narrow (scope) ? has_answered (flow, agent_id)
+                                 : is_non_owner (flow, agent_id)))
+        return false;
+    }
   return len > 0 && len < HS_LOOKUP_AGENTS_MAX;
 }
--- a/src/segment/uplink.c
+++ b/src/segment/uplink.c
@@ -31,6 +31,10 @@
 #define QUERY_SIZE 80 /* Bytes, with the headers.  */
 #define QUERY_TOKENS_MAX 256
 
+/* Queries to directory agents may take this many tokens on credit, so that
+   they do not wait for the queries to all agents that came before.  */
+#define QUERY_CREDIT_MAX 512.0
+
 /* A new flow may wait for the uplink for this share of its latency objective.
    An upload waits again for each window of its segments.  */
 #define UPLOAD_WAIT_PERCENT 25
@@ -109,12 +113,14 @@
 
 bool
 hs_uplink_take_query_tokens (struct hs_uplink *uplink, size_t len,
-                             uint64_t now)
+                             bool is_narrow, uint64_t now)
 {
+  double limit = is_narrow ? -QUERY_CREDIT_MAX : 0;
+
   advance (uplink, now);
   if (uplink->bytes_per_ms <= 0)
     return true;
-  if (uplink->query_tokens <= 0)
+  if (uplink->query_tokens <= limit)
     return false;
   uplink->query_tokens -= (double)len;
   return true;
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -47,8 +47,8 @@
   uint64_t sent_to_id; /* Agent id.  */
   bool sent_owner_only;
   size_t recorded_len;
-  uint64_t directory_id;      /* Directory agent of the latest record.  */
-  uint64_t recorded_owner_id; /* Agent id in the latest record.  */
+  uint64_t directory_ids[QUERIES_MAX]; /* Directory agent of each record.  */
+  uint64_t recorded_owner_id;          /* Agent id in the latest record.  */
 };
 
 /* An entry with a pool of three agents.  */
@@ -158,8 +158,9 @@
   struct forwarder_calls *calls = ctx;
 
   (void)key;
-  calls->recorded_len++;
-  calls->directory_id = directory_agent->report.agent_id;
+  g_assert_cmpuint (calls->recorded_len, <, QUERIES_MAX);
+  calls->directory_ids[calls->recorded_len++]
+      = directory_agent->report.agent_id;
   calls->recorded_owner_id = agent_id;
 }
 
@@ -747,9 +748,14 @@
   g_assert_cmpuint (entry.calls->sent_len, ==, 1);
   g_assert_cmpuint (entry.calls->sent_to_id, ==, owner);
   g_assert_false (entry.calls->sent_owner_only);
-  /* The directory agent didn't know the owner, which is reported to it.  */
-  g_assert_cmpuint (entry.calls->recorded_len, ==, 1);
-  g_assert_cmpuint (entry.calls->directory_id, ==, entry.calls->queried[0]);
+  /* The directory agent and its backups, one of which is the owner, didn't
+     know the owner, which is reported to them.  */
+  g_assert_cmpuint (entry.calls->recorded_len, ==, 2);
+  g_assert_cmpuint (entry.calls->directory_ids[0], ==,
+                    entry.calls->queried[0]);
+  g_assert_cmpuint (entry.calls->directory_ids[1], !=,
+                    entry.calls->queried[0]);
+  g_assert_cmpuint (entry.calls->directory_ids[1], !=, owner);
   g_assert_cmpuint (entry.calls->recorded_owner_id, ==, owner);
   decision = hs_forwarder_route (entry.forwarder, &data, 10);
   g_assert_cmpuint (only_agent_of (&decision), ==, owner);
@@ -775,22 +781,140 @@
   hs_forwarder_tick (entry.forwarder, 49);
   g_assert_cmpuint (entry.calls->queried_len, ==, 1);
   hs_forwarder_tick (entry.forwarder, 50);
-  g_assert_cmpuint (entry.calls->queried_len, ==, 2);
-  g_assert_cmpuint (entry.calls->queried[1], ==, hs_id_from_name ("x"));
+  g_assert_cmpuint (entry.calls->queried_len, ==, 1 + 2);
   hs_forwarder_tick (entry.forwarder, 149);
-  g_assert_cmpuint (entry.calls->queried_len, ==, 2);
+  g_assert_cmpuint (entry.calls->queried_len, ==, 1 + 2);
   hs_forwarder_tick (entry.forwarder, 150);
-  g_assert_cmpuint (entry.calls->queried_len, ==, 5);
+  g_assert_cmpuint (entry.calls->queried_len, ==, 1 + 2 + 1);
+  g_assert_cmpuint (entry.calls->queried[3], ==, hs_id_from_name ("x"));
+  hs_forwarder_tick (entry.forwarder, 349);
+  g_assert_cmpuint (entry.calls->queried_len, ==, 1 + 2 + 1);
+  hs_forwarder_tick (entry.forwarder, 350);
+  g_assert_cmpuint (entry.calls->queried_len, ==, 1 + 2 + 1 + 3);
   answer_not_owned_by_name (&entry, &data, "y");
-  for (uint64_t now = 160; now < 10000; now += 10)
+  for (uint64_t now = 360; now < 10000; now += 10)
     hs_forwarder_tick (entry.forwarder, now);
-  g_assert_cmpuint (entry.calls->queried_len, ==, 9);
+  g_assert_cmpuint (entry.calls->queried_len, ==, 1 + 2 + 1 + 3 + 2 + 2);
   g_assert_cmpuint (
       hs_forwarder_route (entry.forwarder, &data, 10000).queried_agents, ==,
       1);
   talloc_free (entry.root);
 }
 
+/* A directory agent that has just started ranks first and does not know the
+   owner, but its backup names it: the queued segments go to the owner only,
+   and no other agent is queried.  */
+static void
+test_backup_directory_names_owner (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment data = make_segment (HS_SEGMENT_ACK, 9, 101, 501, 50);
+  struct hs_segment_key key = { data.from, data.to };
+  uint64_t owner = 0;
+
+  hs_forwarder_route (entry.forwarder, &data, 0);
+  hs_forwarder_handle_unknown (entry.forwarder, &key, entry.calls->queried[0],
+                               1);
+  g_assert_cmpuint (entry.calls->queried_len, ==, 1 + 2);
+  g_assert_cmpuint (entry.calls->sent_len, ==, 0);
+  owner = entry.calls->queried[2];
+  hs_forwarder_handle_recorded (entry.forwarder, &key, owner, 2);
+  g_assert_cmpuint (entry.calls->sent_len, ==, 1);
+  g_assert_cmpuint (entry.calls->sent_to_id, ==, owner);
+  hs_forwarder_handle_unknown (entry.forwarder, &key, owner, 2);
+  hs_forwarder_handle_owned (entry.forwarder, &key, owner, 3);
+  g_assert_cmpuint (entry.calls->sent_to_id, ==, owner);
+  g_assert_cmpuint (entry.calls->queried_len, ==, 1 + 2);
+  /* The first directory agent gets the entry that it lacks.  */
+  g_assert_cmpuint (entry.calls->directory_ids[0], ==,
+                    entry.calls->queried[0]);
+  talloc_free (entry.root);
+}
+
+/* Directory agents that do not know whether they own the flow get its segments
+   only after all of them have answered so.  */
+static void
+test_unknown_at_all_directories (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment data = make_segment (HS_SEGMENT_ACK, 9, 101, 501, 50);
+  struct hs_segment_key key = { data.from, data.to };
+  uint64_t x = hs_id_from_name ("x");
+
+  hs_forwarder_route (entry.forwarder, &data, 0);
+  for (size_t i = 0; i < 3; i++)
+    {
+      g_assert_cmpuint (entry.calls->sent_len, ==, 0);
+      hs_forwarder_handle_unknown (entry.forwarder, &key,
+                                   entry.calls->queried[i], 1);
+    }
+  g_assert_cmpuint (entry.calls->queried_len, ==, 1 + 2 + 1);
+  g_assert_cmpuint (entry.calls->queried[3], ==, x);
+  hs_forwarder_handle_unknown (entry.forwarder, &key, x, 2);
+  g_assert_cmpuint (entry.calls->sent_len, ==, 1);
+  g_assert_cmpuint (entry.calls->sent_to_id, ==, x);
+  g_assert_true (entry.calls->sent_owner_only);
+  talloc_free (entry.root);
+}
+
+/* The owner of an active flow is recorded again once another agent ranks among
+   its directory agents, and only then.  */
+static void
+test_recorded_at_new_directory (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment data = make_segment (HS_SEGMENT_ACK, 9, 101, 501, 50);
+  struct hs_segment_key key = { data.from, data.to };
+  char name[HS_NAME_SIZE];
+  size_t recorded;
+
+  hs_forwarder_handle_owned (entry.forwarder, &key, hs_id_from_name ("x"), 1);
+  for (uint64_t now = 1000; now < 5000; now += 100)
+    hs_forwarder_route (entry.forwarder, &data, now);
+  recorded = entry.calls->recorded_len;
+  g_assert_cmpuint (recorded, ==, 2);
+  for (int i = 0; i < 20; i++)
+    {
+      snprintf (name, sizeof name, "m%d", i);
+      report_load (&entry, name, "a", HS_AGENT_READY, 0, 5000);
+    }
+  for (uint64_t now = 5000; now < 9000; now += 100)
+    hs_forwarder_route (entry.forwarder, &data, now);
+  g_assert_cmpuint (entry.calls->recorded_len, >, recorded);
+  g_assert_cmpuint (entry.calls->recorded_len, <=, recorded + 3);
+  talloc_free (entry.root);
+}
+
+/* The uplink refuses the first round of a lookup after many others: the
+   directory agent is still the first that is queried.  */
+static void
+test_refused_round_keeps_scope (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment data = make_segment (HS_SEGMENT_ACK, 9, 101, 501, 50);
+
+  while (hs_uplink_take_query_tokens (entry.uplink, 1, true, 0))
+    ;
+  hs_forwarder_route (entry.forwarder, &data, 0);
+  g_assert_cmpuint (entry.calls->queried_len, ==, 0);
+  hs_forwarder_tick (entry.forwarder, 1000);
+  g_assert_cmpuint (entry.calls->queried_len, ==, 1);
+  talloc_free (entry.root);
+}
+
+/* Queries to directory agents do not wait for those to all agents.  */
+static void
+test_narrow_queries_on_credit (void)
+{
+  struct entry entry = entry_create (0);
+
+  while (hs_uplink_take_query_tokens (entry.uplink, 100, false, 0))
+    ;
+  g_assert_true (hs_uplink_take_query_tokens (entry.uplink, 1, true, 0));
+  g_assert_false (hs_uplink_take_query_tokens (entry.uplink, 1, false, 0));
+  talloc_free (entry.root);
+}
+
 /* After a power loss, entries look up all flows at once, and no agent owns any
    of them.  The queries may take a tenth of the uplink only.  */
 static void
@@ -827,6 +951,7 @@
   struct entry entry = entry_create (0);
   uint64_t x = hs_id_from_name ("x");
   size_t recorded = 0;
+  unsigned int first_elsewhere = 0;
 
   for (uint16_t port = 1; port <= 20; port++)
     {
@@ -843,14 +968,16 @@
       hs_forwarder_route (entry.forwarder, &data, 500);
       hs_forwarder_route (entry.forwarder, &data, 501);
       hs_forwarder_route (other.forwarder, &data, 600);
+      /* The three agents are the directory agent and its backups.  */
+      g_assert_cmpuint (entry.calls->recorded_len, ==, recorded + 2);
+      g_assert_cmpuint (entry.calls->recorded_owner_id, ==, x);
       if (other.calls->queried[0] != x)
         {
-          recorded++;
-          g_assert_cmpuint (entry.calls->directory_id, ==,
+          first_elsewhere++;
+          g_assert_cmpuint (entry.calls->directory_ids[recorded], ==,
                             other.calls->queried[0]);
-          g_assert_cmpuint (entry.calls->recorded_owner_id, ==, x);
         }
-      g_assert_cmpuint (entry.calls->recorded_len, ==, recorded);
+      recorded += 2;
       /* The recorded owner gets the queued segments, and confirms that it owns
          the flow.  */
       hs_forwarder_handle_recorded (other.forwarder, &key, x, 601);
@@ -863,7 +990,7 @@
       g_assert_cmpuint (other.calls->recorded_len, ==, 0);
       talloc_free (other.root);
     }
-  g_assert_cmpuint (recorded, >, 5);
+  g_assert_cmpuint (first_elsewhere, >, 5);
   talloc_free (entry.root);
 }
 
@@ -924,6 +1051,9 @@
                                0);
   g_assert_cmpuint (entry.calls->sent_len, ==, 0);
   hs_forwarder_route (entry.forwarder, &data, 0);
+  /* No directory agent answers, so that those of the zone are queried.  */
+  hs_forwarder_tick (entry.forwarder, 50);
+  hs_forwarder_tick (entry.forwarder, 150);
   hs_forwarder_handle_unknown (entry.forwarder, &key, hs_id_from_name ("x"),
                                0);
   g_assert_cmpuint (entry.calls->sent_len, ==, 1);
@@ -1083,7 +1213,8 @@
     }
   decision = hs_forwarder_route (entry.forwarder, &data, 0);
   g_assert_cmpuint (decision.queried_agents, ==, 1);
-  answer_not_owned (&entry, &data, entry.calls->queried[0]);
+  for (size_t i = 0; i < 3; i++)
+    answer_not_owned (&entry, &data, entry.calls->queried[i]);
   answer_not_owned_by_name (&entry, &data, "x");
   for (int i = 0; i < 200; i++)
     {
@@ -1135,10 +1266,11 @@
   hs_forwarder_route (entry.forwarder, &data, 2);
   hs_forwarder_tick (entry.forwarder, 52);
   hs_forwarder_tick (entry.forwarder, 152);
-  g_assert_cmpuint (entry.calls->queried_len, ==, 1 + 1 + 3);
+  hs_forwarder_tick (entry.forwarder, 352);
+  g_assert_cmpuint (entry.calls->queried_len, ==, 1 + 2 + 1 + 3);
   report_load (&entry, "x", "a", HS_AGENT_READY, 0, 900);
   hs_forwarder_tick (entry.forwarder, 900);
-  g_assert_cmpuint (entry.calls->queried_len, ==, 1 + 1 + 3 + 2);
+  g_assert_cmpuint (entry.calls->queried_len, ==, 1 + 2 + 1 + 3 + 2);
   talloc_free (entry.root);
 }
 
@@ -1710,6 +1842,15 @@
   g_test_add_func ("/segment/query-rate-limited", test_query_rate_limited);
   g_test_add_func ("/segment/recorded-at-directory",
                    test_flows_recorded_at_directory);
+  g_test_add_func ("/segment/backup-directory",
+                   test_backup_directory_names_owner);
+  g_test_add_func ("/segment/unknown-at-directories",
+                   test_unknown_at_all_directories);
+  g_test_add_func ("/segment/recorded-at-new-directory",
+                   test_recorded_at_new_directory);
+  g_test_add_func ("/segment/refused-round", test_refused_round_keeps_scope);
+  g_test_add_func ("/segment/queries-on-credit",
+                   test_narrow_queries_on_credit);
   g_test_add_func ("/segment/stale-directory-entry",
                    test_stale_directory_entry);
   g_test_add_func ("/segment/directory", test_directory);
