--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -1262,7 +1262,7 @@
   struct hs_segment data = make_segment (HS_SEGMENT_ACK, 9, 101, 501, 50);
 
   report_load (&entry, "z", "b", HS_AGENT_UPSTREAM_SILENT, 0, 1);
-  hs_agent_pool_mark_queried (entry.pool, hs_id_from_name ("z"), 100);
+  hs_agent_pool_mark_queried (entry.pool, hs_id_from_name ("z"), 2);
   hs_forwarder_route (entry.forwarder, &data, 2);
   hs_forwarder_tick (entry.forwarder, 52);
   hs_forwarder_tick (entry.forwarder, 152);
