Drop a fetch whose host has stopped, and chunks that do not fit

A control host that stopped after its first chunk was asked for the others until a newer version appeared, so that an entry stayed on the version before. The fetch is dropped now after three rounds without a chunk. A chunk whose offset and length wrap around 32 bits was written past the buffer; one in the middle that is too short counted as whole.

Tests: host-stops and unfitting-chunks, which failed before (the second by a crash).

--- a/src/daemon/follower.c
+++ b/src/daemon/follower.c
@@ -23,6 +23,9 @@
 /* Maximum number of chunks requested at once.  */
 #define CHUNK_REQUESTS_MAX 8
 
+/* Rounds without a chunk after which a fetch is dropped.  */
+#define FETCH_IDLE_ROUNDS_MAX 2
+
 /* An agent that no control host has listed for this long is removed.  The
    period is longer than a control host needs after its start to receive a
    heartbeat from every agent.  */
@@ -61,6 +64,7 @@
   uint32_t total_len;     /* Bytes; 0: no chunk received yet.  */
   uint32_t requested_len; /* Chunks below this offset were requested.  */
   uint32_t missing_chunks;
+  uint32_t idle_rounds; /* Since the last chunk.  */
   uint8_t *bytes;
   bool *chunk_received; /* Indexed by chunk number.  */
 };
@@ -119,6 +123,7 @@
                           const struct hs_inner_chunk *chunk);
 static void reset_fetch (struct hs_follower *follower);
 static uint32_t chunk_count (uint32_t total_len);
+static uint32_t chunk_len (uint32_t total_len, uint32_t offset);
 
 /* Public definitions.  */
 
@@ -426,16 +431,16 @@
 }
 
 /* Called once a round.  Chunks may be lost, and the host that serves them
-   may fail.  If no chunk has arrived yet, the fetch is dropped, so that the
-   next status of any host starts a new one; otherwise missing chunks are
-   requested again.  */
+   may fail.  If no chunk has arrived yet, or none for a while, the fetch is
+   dropped, so that the next status of any host starts a new one; otherwise
+   missing chunks are requested again.  */
 static void
 request_missing_chunks (struct hs_follower *follower)
 {
   struct fetch *fetch = &follower->fetch;
   uint32_t requests = 0;
 
-  if (fetch->total_len == 0)
+  if (fetch->total_len == 0 || fetch->idle_rounds++ >= FETCH_IDLE_ROUNDS_MAX)
     {
       reset_fetch (follower);
       return;
@@ -487,9 +492,11 @@
     }
   if (chunk->total_len != fetch->total_len
       || chunk->offset % HS_INNER_CHUNK_SIZE_MAX != 0
-      || chunk->offset + chunk->len > fetch->total_len
+      || chunk->offset >= fetch->total_len
+      || chunk->len != chunk_len (fetch->total_len, chunk->offset)
       || fetch->chunk_received[index])
     return;
+  fetch->idle_rounds = 0;
   memcpy (fetch->bytes + chunk->offset, chunk->bytes, chunk->len);
   fetch->chunk_received[index] = true;
   fetch->missing_chunks--;
@@ -516,3 +523,12 @@
 {
   return (total_len + HS_INNER_CHUNK_SIZE_MAX - 1) / HS_INNER_CHUNK_SIZE_MAX;
 }
+
+/* Returns the length of the chunk at OFFSET, which is below TOTAL_LEN.  */
+static uint32_t
+chunk_len (uint32_t total_len, uint32_t offset)
+{
+  uint32_t left = total_len - offset;
+
+  return left < HS_INNER_CHUNK_SIZE_MAX ? left : HS_INNER_CHUNK_SIZE_MAX;
+}
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -335,6 +335,64 @@
   talloc_free (node);
 }
 
+/* The host stops in the middle of a fetch: after a while the version is fetched
+   from another one.  */
+static void
+test_host_stops_while_fetching (void)
+{
+  struct node *node = node_create (HS_ROLE_ENTRY);
+  struct hs_addr other = host_addr (3);
+
+  receive_status (node, 2, 9, 0, 10);
+  receive_chunk (node, 2, 9, 0, 2500, 20);
+  for (uint64_t now = 600; now <= 2200; now += 100)
+    {
+      node->sent_len = 0;
+      hs_follower_tick (node->follower, now);
+    }
+  node->sent_len = 0;
+  receive_status (node, 3, 9, 0, 2210);
+  g_assert_cmpuint (count_sent_of_type (node, HS_INNER_FETCH), ==, 1);
+  g_assert_true (hs_addr_equal (&node->sent[0].to, &other));
+  receive_chunk (node, 3, 9, 0, 2500, 2220);
+  receive_chunk (node, 3, 9, 1100, 2500, 2220);
+  receive_chunk (node, 3, 9, 2200, 2500, 2220);
+  g_assert_cmpuint (node->configuration_len, ==, 2500);
+  talloc_free (node);
+}
+
+/* Chunks that do not fit the configuration, such as forged ones, are ignored:
+   an offset whose end wraps around 32 bits, one past the end, and a chunk in
+   the middle that is too short.  */
+static void
+test_unfitting_chunks_ignored (void)
+{
+  struct node *node = node_create (HS_ROLE_ENTRY);
+  struct hs_inner inner = { .type = HS_INNER_CHUNK };
+  struct hs_addr from = host_addr (2);
+
+  receive_status (node, 2, 9, 0, 10);
+  receive_chunk (node, 2, 9, 0, 2500, 20);
+  inner.chunk.version = 9;
+  inner.chunk.total_len = 2500;
+  inner.chunk.len = HS_INNER_CHUNK_SIZE_MAX;
+  inner.chunk.offset
+      = UINT32_MAX / HS_INNER_CHUNK_SIZE_MAX * HS_INNER_CHUNK_SIZE_MAX;
+  hs_follower_receive (node->follower, &from, &inner, 30);
+  inner.chunk.offset = 3 * HS_INNER_CHUNK_SIZE_MAX;
+  inner.chunk.len = 0;
+  hs_follower_receive (node->follower, &from, &inner, 30);
+  inner.chunk.offset = HS_INNER_CHUNK_SIZE_MAX;
+  inner.chunk.len = 10;
+  hs_follower_receive (node->follower, &from, &inner, 30);
+  receive_chunk (node, 2, 9, 2200, 2500, 40);
+  g_assert_cmpuint (node->configuration_len, ==, 0);
+  receive_chunk (node, 2, 9, 1100, 2500, 50);
+  g_assert_cmpuint (node->configuration_len, ==, 2500);
+  g_assert_cmpuint (node->configuration[1200], ==, 2);
+  talloc_free (node);
+}
+
 static void
 test_newer_version_while_fetching (void)
 {
@@ -526,6 +584,9 @@
                    test_agent_fetches_nothing);
   g_test_add_func ("/follower/from-another-host",
                    test_fetch_from_another_host);
+  g_test_add_func ("/follower/host-stops", test_host_stops_while_fetching);
+  g_test_add_func ("/follower/unfitting-chunks",
+                   test_unfitting_chunks_ignored);
   g_test_add_func ("/follower/newer-version",
                    test_newer_version_while_fetching);
   g_test_add_func ("/follower/short-lists", test_agents_survive_short_lists);
