Let agents refuse flows whose requests would wait too long or be rejected

Change: the entry tells the agent how long the request may wait (the share of the latency objective that it already used), and the agent refuses by what its upstream has in progress and by the SYNs that it has just accepted. It learns how many requests its upstream takes from answers that come at once while all slots are busy; these no longer lower the mean work. The entry tries up to four agents, gets the load of each that refuses, and resets the caller only if no other agent has the SYN. In the first second after its start it queues SYNs that the few known agents refuse; copies of a queued SYN are no longer placed on several agents.

Wire: FORWARD has one more field.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -1131,9 +1131,24 @@
 hs_agent_pool_least_busy (const struct hs_agent_pool *pool,
                           uint64_t service_id, uint64_t now);
 
-/* Returns whether a new flow is to be refused, since the wait for a slot would
-   be too long for the latency objective SLO_MS at PRIORITY (0: the highest).
-   False if SLO_MS is 0 or no agent accepts flows.  */
+/* Overload: how long a request may wait for a slot of an upstream, and how
+   long it is expected to.  */
+
+/* Returns the time that REQUESTS at an upstream with SLOTS (0: not known)
+   would make the last of them wait for a slot, in microseconds.  MEAN_WORK_US:
+   mean time of a request in a slot; 0: not known.  */
+uint64_t hs_overload_wait_us (uint64_t requests, uint32_t slots,
+                              uint32_t mean_work_us);
+
+/* Returns the time in ms that a request with the latency objective SLO_MS and
+   PRIORITY (0: the highest) may wait for a slot, at least 1; 0: there is no
+   limit, since SLO_MS is 0.  */
+uint32_t hs_overload_wait_max_ms (uint32_t slo_ms, uint32_t priority,
+                                  uint32_t mean_work_us);
+
+/* Returns whether a new flow is to be refused, since even at the least busy
+   agent the wait for a slot would be too long.  False if SLO_MS is 0 or no
+   agent accepts flows.  */
 bool hs_agent_pool_is_overloaded (const struct hs_agent_pool *pool,
                                   uint64_t service_id, uint32_t slo_ms,
                                   uint32_t priority, uint64_t now);
@@ -1316,6 +1331,8 @@
   enum hs_forward_action action;
   enum hs_reason reason; /* RESET and DROP.  */
   bool is_placement;     /* TO_AGENTS: a SYN, to an agent just chosen.  */
+  uint32_t wait_max_ms;  /* TO_AGENTS, a SYN: the agent refuses it if the wait
+                            for a slot would be longer; 0: no limit.  */
   bool owner_only; /* TO_AGENTS: an agent drops the segment if its upstream is
                       known not to own the flow, and answers whether it owns
                       it.  */
@@ -1541,14 +1558,15 @@
 
 /* Decides on SEGMENT of a caller, which ENTRY has sent.  SERVICE_ID: the
    service that the entry names; a SYN for another service is refused.
-   OWNER_ONLY: ENTRY looks for the owner of the flow, and the segment is
-   dropped if this upstream is known not to own it.  The lookup answer is set
-   in this decision or, if only the upstream's reply can show whether it owns
-   the flow, in the decision on that reply.  */
+   WAIT_MAX_MS: a SYN is refused if its request would wait longer for a slot;
+   0: no limit.  OWNER_ONLY: ENTRY looks for the owner of the flow, and the
+   segment is dropped if this upstream is known not to own it.  The lookup
+   answer is set in this decision or, if only the upstream's reply can show
+   whether it owns the flow, in the decision on that reply.  */
 struct hs_sidecar_decision hs_sidecar_handle_entry_segment (
     struct hs_sidecar *sidecar, const struct hs_segment *segment,
-    const struct hs_addr *entry, uint64_t service_id, bool owner_only,
-    uint64_t now);
+    const struct hs_addr *entry, uint64_t service_id, uint32_t wait_max_ms,
+    bool owner_only, uint64_t now);
 
 /* Returns whether the upstream owns the flow of SEGMENT, which a caller sent,
    without delivering the segment or changing any state.  HS_LOOKUP_UNKNOWN:
--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -432,7 +432,7 @@
      this upstream owns the flow.  */
   decision = hs_sidecar_handle_entry_segment (
       agent->sidecar, &segment, &packet->peer,
-      message->segment_header.service_id,
+      message->segment_header.service_id, message->segment_header.wait_max_ms,
       message->segment_header.owner_only || !is_for_this_agent, now);
   if (decision.action == HS_SIDECAR_REFUSE)
     decision.entry = packet->peer;
@@ -554,6 +554,9 @@
   hs_segment_node_encapsulate (agent->node, packet, &message,
                                &decision->entry);
   hs_counter_add (agent->metrics.syns_refused, 1);
+  /* The entry has placed the flow by a report that is out of date.  */
+  if (decision->reason == HS_REASON_OVERLOADED)
+    send_load_report (agent, &decision->entry);
 }
 
 /* Replaces PACKET by a reset to the caller that sent SEGMENT.  */
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -35,8 +35,8 @@
 #define READY_DELAY_MS 300
 
 /* Time after a start in which SYNs that cannot be placed, for lack of a
-   configuration or an agent, are queued and retried.  Callers give up after
-   1.4 s.  */
+   configuration or an agent, or since the few agents that are known are
+   overloaded, are queued and retried.  Callers give up after 1.4 s.  */
 #define SYN_RETRY_WINDOW_MS 1000
 
 /* A drain ends when no segment of a caller has arrived for this long.  */
@@ -166,6 +166,10 @@
                            struct hs_segment_entry *entry,
                            const struct hs_packet *packet,
                            const struct hs_segment *segment, uint64_t now);
+static void queue_unplaced_syn (struct hs_segment_entry *entry,
+                                const struct hs_packet *packet,
+                                const struct hs_segment *segment,
+                                uint64_t now);
 static void retry_unplaced_syn (void *ctx, const uint8_t *data, size_t len);
 static void reset_caller (struct hs_segment_entry *entry,
                           struct hs_packet *packet,
@@ -675,10 +679,11 @@
                   const struct hs_forward_decision *decision, uint64_t now)
 {
   packet->fd = -1;
-  if (decision->action == HS_FORWARD_DROP && hs_segment_is_syn (segment)
-      && now - entry->up_since < SYN_RETRY_WINDOW_MS)
+  if (hs_segment_is_syn (segment)
+      && now - entry->up_since < SYN_RETRY_WINDOW_MS
+      && (decision->action == HS_FORWARD_DROP || decision->least_busy != NULL))
     {
-      queue_segment (entry->unplaced_syns, entry, packet, segment, now);
+      queue_unplaced_syn (entry, packet, segment, now);
       return;
     }
   log_decision (entry, segment, decision, now);
@@ -718,6 +723,7 @@
     hs_counter_add (entry->metrics.placed_elsewhere, 1);
   hs_counter_add (entry->metrics.forwarded, 1);
   message.segment_header.owner_only = decision->owner_only;
+  message.segment_header.wait_max_ms = decision->wait_max_ms;
   for (size_t i = 0; i < decision->agents_len; i++)
     {
       const struct hs_load_report *report = &decision->agents[i]->report;
@@ -798,6 +804,19 @@
     hs_counter_add (entry->metrics.dropped, 1);
 }
 
+/* Queues the SYN in place of its earlier copies, each of which would be placed
+   on another agent.  */
+static void
+queue_unplaced_syn (struct hs_segment_entry *entry,
+                    const struct hs_packet *packet,
+                    const struct hs_segment *segment, uint64_t now)
+{
+  struct hs_segment_key key = hs_segment_key (segment, true);
+
+  hs_pending_segments_remove (entry->unplaced_syns, &key);
+  queue_segment (entry->unplaced_syns, entry, packet, segment, now);
+}
+
 /* Handles a queued SYN as if it had just arrived.  */
 static void
 retry_unplaced_syn (void *ctx, const uint8_t *data, size_t len)
--- a/src/segment/agent_pool.c
+++ b/src/segment/agent_pool.c
@@ -180,15 +180,14 @@
   return best;
 }
 
-/* The queued requests are spread evenly over all slots.  */
 uint64_t
 hs_pool_agent_wait_us (const struct hs_pool_agent *agent)
 {
   const struct hs_load_report *report = &agent->report;
-  uint64_t slots = report->slots != 0 ? report->slots : SLOTS_DEFAULT;
-  uint64_t busy = report->requests_in_progress + agent->placed_flows + 1;
 
-  return busy > slots ? report->mean_work_us * (busy - slots) / slots : 0;
+  return hs_overload_wait_us ((uint64_t)report->requests_in_progress
+                                  + agent->placed_flows + 1,
+                              report->slots, report->mean_work_us);
 }
 
 const struct hs_pool_agent *
--- a/src/segment/forwarder.c
+++ b/src/segment/forwarder.c
@@ -55,6 +55,9 @@
 static struct hs_forward_decision
 forward_to_agent (const struct hs_pool_agent *agent, bool is_placement);
 static struct hs_forward_decision
+forward_syn (const struct hs_forwarder_flow *flow,
+             const struct hs_pool_agent *agent, bool is_placement);
+static struct hs_forward_decision
 refuse_overloaded (const struct hs_forwarder *forwarder,
                    const struct hs_forwarder_flow *flow, uint64_t now);
 static struct hs_forward_decision
@@ -145,6 +148,7 @@
   struct hs_segment_key key = hs_segment_key (syn, true);
   struct hs_forwarder_flow *flow
       = hs_segment_flow_table_find (forwarder->flows, &key);
+  struct hs_forward_decision decision;
 
   if (reason == HS_REASON_DRAINING)
     hs_agent_pool_set_state (forwarder->pool, agent_id, HS_AGENT_DRAINING);
@@ -155,17 +159,18 @@
     return hs_forward_decision_without_agents (HS_FORWARD_DROP, reason);
   if (flow->owner_id == agent_id)
     flow->owner_id = 0;
-  /* The SYN has since been sent to another agent, which may accept it.  */
-  if (flow->syn_agent_ids_len > 1
-      && flow->syn_agent_ids[flow->syn_agent_ids_len - 1] != agent_id)
-    {
-      hs_forwarder_remove_syn_agent (flow, agent_id);
-      return hs_forward_decision_without_agents (HS_FORWARD_DROP, reason);
-    }
-  if (hs_agent_pool_is_overloaded (forwarder->pool, flow->service_id,
-                                   flow->slo_ms, flow->priority, now))
+  hs_forwarder_remove_syn_agent (flow, agent_id);
+  if (flow->refused_ids_len < HS_SYN_AGENTS_MAX)
+    flow->refused_ids[flow->refused_ids_len++] = agent_id;
+  /* Another agent has the SYN as well, and may accept it.  */
+  if (flow->syn_agent_ids_len > 0)
+    return hs_forward_decision_without_agents (HS_FORWARD_DROP, reason);
+  decision = place_flow (forwarder, flow, now);
+  /* The agents that are left could not take another flow either.  */
+  if (decision.action == HS_FORWARD_DROP
+      && (reason == HS_REASON_OVERLOADED || reason == HS_REASON_SHED))
     return refuse_overloaded (forwarder, flow, now);
-  return place_flow (forwarder, flow, now);
+  return decision;
 }
 
 void
@@ -247,6 +252,7 @@
   flow->syn_seq = segment->seq;
   flow->owner_id = 0;
   flow->syn_agent_ids_len = 0;
+  flow->refused_ids_len = 0;
   flow->non_owner_ids_len = 0;
   flow->opened_at = now;
   flow->directories_digest = 0;
@@ -268,7 +274,7 @@
 
   if (agent != NULL && hs_pool_agent_accepts_flows (agent, now)
       && segment->ack < SYN_RETRANSMISSION_OTHER_AGENT)
-    return forward_to_agent (agent, false);
+    return forward_syn (flow, agent, false);
   return place_flow (forwarder, flow, now);
 }
 
@@ -281,6 +287,8 @@
             uint64_t now)
 {
   const struct hs_pool_agent *agent = NULL;
+  uint64_t excluded[2 * HS_SYN_AGENTS_MAX];
+  size_t excluded_len = 0;
 
   if (flow->syn_agent_ids_len == 0
       && hs_uplink_refuses_flow (forwarder->uplink, flow->request_class,
@@ -290,24 +298,38 @@
       && hs_agent_pool_is_overloaded (forwarder->pool, flow->service_id,
                                       flow->slo_ms, flow->priority, now))
     return refuse_overloaded (forwarder, flow, now);
-  if (flow->syn_agent_ids_len < HS_SYN_AGENTS_MAX)
+  for (size_t i = 0; i < flow->syn_agent_ids_len; i++)
+    excluded[excluded_len++] = flow->syn_agent_ids[i];
+  for (size_t i = 0; i < flow->refused_ids_len; i++)
+    excluded[excluded_len++] = flow->refused_ids[i];
+  if (excluded_len < HS_SYN_AGENTS_MAX)
     agent = hs_agent_pool_place_flow (forwarder->pool, flow->service_id,
-                                      flow->syn_agent_ids,
-                                      flow->syn_agent_ids_len, now);
+                                      excluded, excluded_len, now);
   if (agent != NULL)
     {
       flow->syn_agent_ids[flow->syn_agent_ids_len++] = agent->report.agent_id;
-      return forward_to_agent (agent, true);
+      return forward_syn (flow, agent, true);
     }
   if (flow->syn_agent_ids_len > 0)
     agent = hs_agent_pool_find (
         forwarder->pool, flow->syn_agent_ids[flow->syn_agent_ids_len - 1]);
   if (agent != NULL && hs_pool_agent_accepts_flows (agent, now))
-    return forward_to_agent (agent, false);
+    return forward_syn (flow, agent, false);
   return hs_forward_decision_without_agents (HS_FORWARD_DROP,
                                              HS_REASON_NO_UPSTREAM);
 }
 
+static struct hs_forward_decision
+forward_syn (const struct hs_forwarder_flow *flow,
+             const struct hs_pool_agent *agent, bool is_placement)
+{
+  struct hs_forward_decision decision = forward_to_agent (agent, is_placement);
+
+  decision.wait_max_ms = hs_overload_wait_max_ms (flow->slo_ms, flow->priority,
+                                                  agent->report.mean_work_us);
+  return decision;
+}
+
 static struct hs_forward_decision
 forward_to_owner (struct hs_forwarder *forwarder,
                   struct hs_forwarder_flow *flow)
--- a/src/segment/forwarder_state.h
+++ b/src/segment/forwarder_state.h
@@ -38,7 +38,10 @@
   uint32_t syn_seq;
   size_t syn_agent_ids_len;
   uint64_t syn_agent_ids[HS_SYN_AGENTS_MAX]; /* Agents that the SYN was sent
-                                                to.  */
+                                                to and that have not refused
+                                                it.  */
+  size_t refused_ids_len;
+  uint64_t refused_ids[HS_SYN_AGENTS_MAX]; /* Agents that refused it.  */
 
   /* The owner lookup.  */
   struct hs_list lookup_link; /* In lookups of the forwarder.  */
--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -54,6 +54,23 @@
    upstream counts as silent.  The handshake takes less than 10 ms.  */
 #define SYN_TIMEOUT_MS 150
 
+/* Time after a SYN within which its request counts as about to come: the round
+   trip to the caller, and its retransmission at the entry.  */
+#define SYN_PENDING_MS 100
+
+/* Work of a request as long as none has been answered, and the factor by which
+   a cold upstream is slower.  */
+#define WORK_DEFAULT_US 40000
+#define COLD_WORK_PERCENT 160
+
+/* A request that finds all slots busy and is answered this soon has been
+   rejected by the upstream, whose queue is full.  */
+#define REJECTION_MS 2
+
+/* Interval at which the number of requests that the upstream is known to take
+   is raised by one again.  */
+#define CAPACITY_PROBE_MS 500
+
 /* Weight of the latest request in the moving average of the time that a
    request occupies a slot.  */
 #define WORK_EWMA_PERCENT 5
@@ -92,6 +109,9 @@
   uint32_t requests_at_start;  /* Requests in progress when it started,
                                   including it.  */
   bool is_open;                /* Counted in open_flows of the sidecar.  */
+  struct hs_list pending_link; /* In pending_syns of the sidecar.  */
+  bool is_pending;             /* PENDING_LINK is in that list.  */
+  uint64_t syn_at;             /* ms, if IS_PENDING.  */
   bool caller_closed;
   bool upstream_closed;
 };
@@ -124,6 +144,12 @@
                                     and sent no other segment or heartbeat
                                     since.  */
   uint32_t requests_in_progress;
+  struct hs_list pending_syns; /* Flows whose first request is about to come,
+                                  oldest first.  */
+  uint32_t pending_syns_len;
+  uint32_t capacity; /* Requests that the upstream takes, queued ones included;
+                        0: not known.  */
+  uint64_t capacity_changed_at; /* ms  */
   uint32_t open_flows;
   uint32_t mean_work_us; /* Mean time that a request occupies a slot.  */
 };
@@ -131,10 +157,18 @@
 /* Private functions.  */
 
 static bool has_no_upstream (const struct hs_sidecar *sidecar);
-static struct hs_sidecar_decision handle_syn (struct hs_sidecar *sidecar,
-                                              const struct hs_segment *segment,
-                                              const struct hs_addr *entry,
-                                              uint64_t now);
+static struct hs_sidecar_decision
+handle_syn (struct hs_sidecar *sidecar, const struct hs_segment *segment,
+            const struct hs_addr *entry, uint32_t wait_max_ms, uint64_t now);
+static bool would_wait_too_long (struct hs_sidecar *sidecar,
+                                 uint32_t wait_max_ms, uint64_t now);
+static void set_syn_pending (struct hs_sidecar *sidecar, struct flow *flow,
+                             bool pending, uint64_t now);
+static bool is_rejection (const struct hs_sidecar *sidecar,
+                          const struct flow *flow, uint64_t now);
+static void lower_capacity (struct hs_sidecar *sidecar,
+                            const struct flow *flow, uint64_t now);
+static void raise_capacity (struct hs_sidecar *sidecar, uint64_t now);
 static struct hs_sidecar_decision handle_unknown_flow (
     struct hs_sidecar *sidecar, const struct hs_segment *segment,
     const struct hs_addr *entry, bool owner_only, uint64_t now);
@@ -198,6 +232,7 @@
   sidecar->recovery_until = UINT64_MAX;
   sidecar->ops = *ops;
   sidecar->ctx = ctx;
+  hs_list_init (&sidecar->pending_syns);
   sidecar->flows = hs_segment_flow_table_create (sidecar, sizeof (struct flow),
                                                  HS_SIDECAR_FLOWS_MAX,
                                                  on_flow_removed, sidecar);
@@ -259,8 +294,8 @@
 hs_sidecar_handle_entry_segment (struct hs_sidecar *sidecar,
                                  const struct hs_segment *segment,
                                  const struct hs_addr *entry,
-                                 uint64_t service_id, bool owner_only,
-                                 uint64_t now)
+                                 uint64_t service_id, uint32_t wait_max_ms,
+                                 bool owner_only, uint64_t now)
 {
   struct hs_segment_key key = hs_segment_key (segment, true);
   struct flow *flow;
@@ -268,7 +303,7 @@
   if (hs_segment_is_syn (segment))
     {
       if (service_id == sidecar->service_id)
-        return handle_syn (sidecar, segment, entry, now);
+        return handle_syn (sidecar, segment, entry, wait_max_ms, now);
       return decide (HS_SIDECAR_REFUSE, HS_REASON_WRONG_SERVICE);
     }
   flow = hs_segment_flow_table_find (sidecar->flows, &key);
@@ -371,6 +406,7 @@
              > FIRST_HEARTBEAT_INTERVALS * sidecar->heartbeat_ms)
     sidecar->recovery_until = 0;
   hs_segment_flow_table_expire (sidecar->flows, FLOW_EXPIRY_MS, now);
+  raise_capacity (sidecar, now);
   if (sidecar->recovery_until != 0 && now >= sidecar->recovery_until)
     sidecar->recovery_until = 0;
   if (sidecar->cold_until != 0 && now >= sidecar->cold_until)
@@ -418,18 +454,24 @@
 
 static struct hs_sidecar_decision
 handle_syn (struct hs_sidecar *sidecar, const struct hs_segment *segment,
-            const struct hs_addr *entry, uint64_t now)
+            const struct hs_addr *entry, uint32_t wait_max_ms, uint64_t now)
 {
   struct hs_segment_key key = hs_segment_key (segment, true);
   struct hs_sidecar_decision decision
       = decide (HS_SIDECAR_TO_UPSTREAM, HS_REASON_NONE);
-  struct flow *flow;
+  struct flow *flow = hs_segment_flow_table_find (sidecar->flows, &key);
+  bool is_copy
+      = flow != NULL && flow->syn_seq == segment->seq
+        && (flow->state == FLOW_SYN_SENT || flow->state == FLOW_SYN_ANSWERED
+            || flow->state == FLOW_OPEN);
 
   if (sidecar->is_draining || sidecar->state == HS_UPSTREAM_DRAINING
       || sidecar->state == HS_UPSTREAM_LEFT)
     return decide (HS_SIDECAR_REFUSE, HS_REASON_DRAINING);
   if (sidecar->state == HS_UPSTREAM_UNKNOWN || sidecar->rejects_syns)
     return decide (HS_SIDECAR_REFUSE, HS_REASON_NO_UPSTREAM);
+  if (!is_copy && would_wait_too_long (sidecar, wait_max_ms, now))
+    return decide (HS_SIDECAR_REFUSE, HS_REASON_OVERLOADED);
   flow = find_or_add_flow (sidecar, &key, now);
   if (flow->syn_seq != segment->seq || flow->state != FLOW_OPEN)
     {
@@ -440,6 +482,8 @@
       flow->caller_closed = false;
       flow->upstream_closed = false;
     }
+  if (!is_copy)
+    set_syn_pending (sidecar, flow, true, now);
   flow->syn_seq = segment->seq;
   flow->entry = *entry;
   if (sidecar->syn_unanswered_since == 0)
@@ -448,6 +492,88 @@
   return decision;
 }
 
+/* Returns whether the request of a new flow would wait for a slot for longer
+   than WAIT_MAX_MS (0: no limit).  */
+static bool
+would_wait_too_long (struct hs_sidecar *sidecar, uint32_t wait_max_ms,
+                     uint64_t now)
+{
+  uint32_t work_us = sidecar->mean_work_us;
+  uint64_t requests;
+
+  HS_LIST_FOREACH (link, &sidecar->pending_syns)
+    {
+      struct flow *flow = HS_LIST_ENTRY (link, struct flow, pending_link);
+
+      if (now - flow->syn_at <= SYN_PENDING_MS)
+        break;
+      set_syn_pending (sidecar, flow, false, now);
+    }
+  if (work_us == 0)
+    work_us = WORK_DEFAULT_US;
+  if (sidecar->cold_until > now)
+    work_us = work_us * COLD_WORK_PERCENT / 100;
+  requests = (uint64_t)sidecar->requests_in_progress
+             + sidecar->pending_syns_len + 1;
+  if (wait_max_ms == 0)
+    return false;
+  return (sidecar->capacity != 0 && requests > sidecar->capacity)
+         || hs_overload_wait_us (requests, sidecar->last_heartbeat.slots,
+                                 work_us)
+                > (uint64_t)wait_max_ms * 1000;
+}
+
+/* Returns whether the upstream has answered the request of FLOW at NOW without
+   running it, since its queue is full.  */
+static bool
+is_rejection (const struct hs_sidecar *sidecar, const struct flow *flow,
+              uint64_t now)
+{
+  return sidecar->last_heartbeat.slots != 0
+         && flow->requests_at_start > sidecar->last_heartbeat.slots + 1
+         && now - flow->request_started_at <= REJECTION_MS;
+}
+
+static void
+lower_capacity (struct hs_sidecar *sidecar, const struct flow *flow,
+                uint64_t now)
+{
+  uint32_t taken = flow->requests_at_start - 1;
+
+  if (sidecar->capacity == 0 || taken < sidecar->capacity)
+    sidecar->capacity = taken;
+  sidecar->capacity_changed_at = now;
+}
+
+/* The rejection may have had another cause, and the upstream may take more by
+   now: it is tried out, one request more at a time.  */
+static void
+raise_capacity (struct hs_sidecar *sidecar, uint64_t now)
+{
+  if (sidecar->capacity == 0
+      || now - sidecar->capacity_changed_at < CAPACITY_PROBE_MS)
+    return;
+  sidecar->capacity++;
+  sidecar->capacity_changed_at = now;
+}
+
+static void
+set_syn_pending (struct hs_sidecar *sidecar, struct flow *flow, bool pending,
+                 uint64_t now)
+{
+  if (flow->is_pending)
+    {
+      hs_list_remove (&flow->pending_link);
+      sidecar->pending_syns_len--;
+    }
+  flow->is_pending = pending;
+  if (!pending)
+    return;
+  flow->syn_at = now;
+  hs_list_append (&sidecar->pending_syns, &flow->pending_link);
+  sidecar->pending_syns_len++;
+}
+
 static struct hs_sidecar_decision
 handle_unknown_flow (struct hs_sidecar *sidecar,
                      const struct hs_segment *segment,
@@ -577,6 +703,7 @@
 
   sidecar->state = HS_UPSTREAM_UNKNOWN;
   sidecar->recovery_until = 0;
+  sidecar->capacity = 0;
   if (!is_first)
     discard_flows (sidecar);
   else if (heartbeat->started_at + SIMULTANEOUS_START_MS < sidecar->started_at)
@@ -616,7 +743,12 @@
       flow->has_upstream_isn = true;
     }
   if (segment->payload_len > 0 && flow->request_active)
-    update_mean_work (sidecar, flow, now);
+    {
+      if (is_rejection (sidecar, flow, now))
+        lower_capacity (sidecar, flow, now);
+      else
+        update_mean_work (sidecar, flow, now);
+    }
   if (segment->payload_len > 0)
     set_request_active (sidecar, flow, false);
 }
@@ -712,6 +844,7 @@
 {
   if (flow->request_active)
     return;
+  set_syn_pending (sidecar, flow, false, now);
   set_request_active (sidecar, flow, true);
   flow->request_started_at = now;
   flow->requests_at_start = sidecar->requests_in_progress;
@@ -729,6 +862,7 @@
 static void
 on_flow_removed (void *ctx, struct hs_segment_flow *base)
 {
+  set_syn_pending (ctx, (struct flow *)base, false, 0);
   set_request_active (ctx, (struct flow *)base, false);
   set_flow_open (ctx, (struct flow *)base, false);
 }
--- a/src/wire/inner.c
+++ b/src/wire/inner.c
@@ -14,7 +14,7 @@
 
 /* Elements of the array of each type, including the type itself.  */
 static const uint8_t field_counts[HS_INNER_TYPE_COUNT] = {
-  [HS_INNER_FORWARD] = 5,      [HS_INNER_REFUSED_SYN] = 5,
+  [HS_INNER_FORWARD] = 6,      [HS_INNER_REFUSED_SYN] = 6,
   [HS_INNER_OWNERSHIP] = 7,    [HS_INNER_LOAD_REPORT] = 15,
   [HS_INNER_HEARTBEAT] = 10,   [HS_INNER_STATUS] = 6,
   [HS_INNER_FETCH] = 4,        [HS_INNER_CHUNK] = 6,
@@ -103,6 +103,7 @@
     case HS_INNER_REFUSED_SYN:
       msgpack_pack_uint64 (out, inner->segment_header.service_id);
       msgpack_pack_uint64 (out, inner->segment_header.agent_id);
+      msgpack_pack_uint32 (out, inner->segment_header.wait_max_ms);
       msgpack_pack_uint8 (out, inner->segment_header.owner_only);
       msgpack_pack_uint8 (out, (uint8_t)inner->segment_header.reason);
       break;
@@ -214,6 +215,8 @@
     case HS_INNER_REFUSED_SYN:
       inner->segment_header.service_id = hs_unpack_uint (in, UINT64_MAX);
       inner->segment_header.agent_id = hs_unpack_uint (in, UINT64_MAX);
+      inner->segment_header.wait_max_ms
+          = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
       inner->segment_header.owner_only = hs_unpack_uint (in, 1) != 0;
       inner->segment_header.reason
           = (enum hs_reason)hs_unpack_uint (in, HS_REASON_COUNT - 1);
--- a/src/wire/inner.h
+++ b/src/wire/inner.h
@@ -41,6 +41,8 @@
   uint64_t service_id;   /* FORWARD: the service that the flow is meant
                             for.  */
   uint64_t agent_id;     /* FORWARD: the receiver; REFUSED_SYN: the sender.  */
+  uint32_t wait_max_ms;  /* FORWARD of a SYN: refused if its request would wait
+                            longer for a slot; 0: no limit.  */
   bool owner_only;       /* FORWARD: only the owner of the flow accepts it.  */
   enum hs_reason reason; /* REFUSED_SYN  */
 };
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -335,8 +335,8 @@
   talloc_free (node);
 }
 
-/* The host stops in the middle of a fetch: after a while the version is fetched
-   from another one.  */
+/* The host stops in the middle of a fetch: after a while the version is
+   fetched from another one.  */
 static void
 test_host_stops_while_fetching (void)
 {
--- a/tests/test_inner.c
+++ b/tests/test_inner.c
@@ -43,6 +43,7 @@
       inner.segment_header
           = (struct hs_inner_segment_header){ .service_id = UINT64_MAX,
                                               .agent_id = 7,
+                                              .wait_max_ms = 150,
                                               .owner_only = true,
                                               .reason = HS_REASON_SHED };
       break;
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -258,7 +258,57 @@
   struct hs_addr entry = parse_addr ("10.0.0.9:7000");
 
   return hs_sidecar_handle_entry_segment (
-      sidecar, segment, &entry, hs_id_from_name (ALPHA), owner_only, now);
+      sidecar, segment, &entry, hs_id_from_name (ALPHA), 0, owner_only, now);
+}
+
+/* An agent accepts SYNs whose requests find a slot or wait for a short time,
+   by what is in progress and about to come, whatever the entries know.  Copies
+   of an accepted SYN are accepted.  */
+static void
+test_overloaded_agent_refuses (void)
+{
+  void *root = talloc_new (NULL);
+  struct hs_sidecar *sidecar = create_sidecar (root, NULL, 0);
+  struct hs_addr entry = parse_addr ("10.0.0.9:7000");
+  struct hs_sidecar_decision decision;
+  uint16_t accepted = 0;
+
+  send_heartbeat (sidecar, HS_UPSTREAM_READY, 1, 1, 0);
+  for (uint16_t port = 1; port <= 100; port++)
+    {
+      struct hs_segment syn = make_segment (HS_SEGMENT_SYN, port, 100, 0, 0);
+
+      decision = hs_sidecar_handle_entry_segment (
+          sidecar, &syn, &entry, hs_id_from_name (ALPHA), 100, false, 10);
+      if (decision.action == HS_SIDECAR_REFUSE)
+        {
+          g_assert_cmpint (decision.reason, ==, HS_REASON_OVERLOADED);
+          continue;
+        }
+      accepted++;
+      g_assert_cmpuint (port, ==, accepted);
+    }
+  /* 7 slots, and 100 ms of work of 40 ms each.  */
+  g_assert_cmpuint (accepted, ==, 7 + 17);
+  decision = send_from_entry (
+      sidecar,
+      &(struct hs_segment){ .from = parse_addr ("100.64.0.7:1"),
+                            .to = parse_addr ("198.18.0.1:80"),
+                            .flags = HS_SEGMENT_SYN,
+                            .seq = 100,
+                            .ack = 1 },
+      false, 11);
+  g_assert_cmpint (decision.action, ==, HS_SIDECAR_TO_UPSTREAM);
+  /* The requests have not come: the SYNs no longer count.  */
+  decision = hs_sidecar_handle_entry_segment (
+      sidecar,
+      &(struct hs_segment){ .from = parse_addr ("100.64.0.7:200"),
+                            .to = parse_addr ("198.18.0.1:80"),
+                            .flags = HS_SEGMENT_SYN,
+                            .seq = 100 },
+      &entry, hs_id_from_name (ALPHA), 100, false, 150);
+  g_assert_cmpint (decision.action, ==, HS_SIDECAR_TO_UPSTREAM);
+  talloc_free (root);
 }
 
 static struct hs_load_report
@@ -270,6 +320,54 @@
   return load;
 }
 
+static bool
+accepts_syn (struct hs_sidecar *sidecar, uint16_t port, uint64_t now)
+{
+  struct hs_segment syn = make_segment (HS_SEGMENT_SYN, port, 100, 0, 0);
+  struct hs_addr entry = parse_addr ("10.0.0.9:7000");
+
+  return hs_sidecar_handle_entry_segment (
+             sidecar, &syn, &entry, hs_id_from_name (ALPHA), 10000, false, now)
+             .action
+         == HS_SIDECAR_TO_UPSTREAM;
+}
+
+/* An upstream that answers a request at once, though all of its slots are
+   busy, has rejected it: its agent accepts no more requests than it took, and
+   tries one more later.  The quick answer is not taken for the time of its
+   work.  */
+static void
+test_full_queue_learned (void)
+{
+  void *root = talloc_new (NULL);
+  struct hs_sidecar *sidecar = create_sidecar (root, NULL, 0);
+  struct hs_segment rejection;
+  bool accepted;
+
+  send_heartbeat (sidecar, HS_UPSTREAM_READY, 1, 1, 0);
+  for (uint16_t port = 1; port <= 12; port++)
+    {
+      struct hs_segment data
+          = make_segment (HS_SEGMENT_ACK, port, 101, 501, 50);
+
+      accepted = accepts_syn (sidecar, port, 10);
+      g_assert_true (accepted);
+      send_from_entry (sidecar, &data, false, 10);
+    }
+  g_assert_cmpuint (get_load (sidecar).requests_in_progress, ==, 12);
+  rejection = make_segment (HS_SEGMENT_ACK, 12, 101, 501, 50);
+  rejection = make_reply (&rejection, HS_SEGMENT_ACK, 501, 20);
+  hs_sidecar_handle_upstream_segment (sidecar, &rejection, 11);
+  g_assert_cmpuint (get_load (sidecar).requests_in_progress, ==, 11);
+  g_assert_cmpuint (get_load (sidecar).mean_work_us, ==, 0);
+  accepted = accepts_syn (sidecar, 13, 12);
+  g_assert_false (accepted);
+  hs_sidecar_tick (sidecar, 600);
+  accepted = accepts_syn (sidecar, 13, 601);
+  g_assert_true (accepted);
+  talloc_free (root);
+}
+
 /* The platform's encoding of segments and heartbeats.  */
 
 static void
@@ -688,6 +786,55 @@
   talloc_free (entry.root);
 }
 
+/* Once all agents that may be tried have refused the SYN since they are
+   overloaded, its caller is reset.  */
+static void
+test_refused_by_all_agents (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment syn = make_segment (HS_SEGMENT_SYN, 9, 100, 0, 0);
+  struct hs_forward_decision decision
+      = hs_forwarder_route (entry.forwarder, &syn, 0);
+  unsigned int refusals = 0;
+
+  while (decision.action == HS_FORWARD_TO_AGENTS)
+    {
+      g_assert_cmpuint (refusals, <, 3);
+      refusals++;
+      decision = hs_forwarder_handle_refused_syn (
+          entry.forwarder, &syn, only_agent_of (&decision),
+          HS_REASON_OVERLOADED, refusals);
+    }
+  g_assert_cmpuint (refusals, ==, 3);
+  g_assert_cmpint (decision.action, ==, HS_FORWARD_RESET);
+  g_assert_cmpint (decision.reason, ==, HS_REASON_OVERLOADED);
+  talloc_free (entry.root);
+}
+
+/* A refusal does not reset the caller while another agent has the SYN: that
+   one may have accepted it.  */
+static void
+test_refused_by_one_of_two_agents (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment syn = make_segment (HS_SEGMENT_SYN, 9, 100, 0, 0);
+  struct hs_segment ack = make_segment (HS_SEGMENT_ACK, 9, 101, 501, 0);
+  struct hs_forward_decision decision
+      = hs_forwarder_route (entry.forwarder, &syn, 0);
+  uint64_t first = only_agent_of (&decision);
+
+  syn.ack = 2;
+  decision = hs_forwarder_route (entry.forwarder, &syn, 600);
+  decision = hs_forwarder_handle_refused_syn (entry.forwarder, &syn,
+                                              only_agent_of (&decision),
+                                              HS_REASON_OVERLOADED, 601);
+  g_assert_cmpint (decision.action, ==, HS_FORWARD_DROP);
+  /* The ACK goes to the agent that has not refused only.  */
+  decision = hs_forwarder_route (entry.forwarder, &ack, 610);
+  g_assert_cmpuint (only_agent_of (&decision), ==, first);
+  talloc_free (entry.root);
+}
+
 static void
 answer_not_owned (struct entry *entry, const struct hs_segment *segment,
                   uint64_t agent_id)
@@ -1386,7 +1533,7 @@
 
   send_heartbeat (sidecar, HS_UPSTREAM_READY, 2000, 1, 0);
   decision = hs_sidecar_handle_entry_segment (
-      sidecar, &syn, &entry, hs_id_from_name (BETA), false, 0);
+      sidecar, &syn, &entry, hs_id_from_name (BETA), 0, false, 0);
   g_assert_cmpint (decision.action, ==, HS_SIDECAR_REFUSE);
   g_assert_cmpint (decision.reason, ==, HS_REASON_WRONG_SERVICE);
   talloc_free (root);
@@ -1842,6 +1989,11 @@
   g_test_add_func ("/segment/query-rate-limited", test_query_rate_limited);
   g_test_add_func ("/segment/recorded-at-directory",
                    test_flows_recorded_at_directory);
+  g_test_add_func ("/segment/refused-by-all", test_refused_by_all_agents);
+  g_test_add_func ("/segment/refused-by-one-of-two",
+                   test_refused_by_one_of_two_agents);
+  g_test_add_func ("/segment/overloaded-agent", test_overloaded_agent_refuses);
+  g_test_add_func ("/segment/full-queue", test_full_queue_learned);
   g_test_add_func ("/segment/backup-directory",
                    test_backup_directory_names_owner);
   g_test_add_func ("/segment/unknown-at-directories",
