Do not count copies of answered requests as requests in progress

Cause: a restarted agent counts each segment with payload on a flow that it does not know as a request in progress until its upstream answers. Many are copies of requests that the upstream answered before: it only acknowledges them, and the count stays until the flow has been idle for 30 s. The reports carried that count before; refusals by agents made it worse.

Change: a request begins with payload that the agent has not seen before; on a flow that was open before the agent started it counts for 0.3 s, elsewhere for 10 s at most. Such requests are not used to learn the work and the capacity.

--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -67,6 +67,12 @@
    rejected by the upstream, whose queue is full.  */
 #define REJECTION_MS 2
 
+/* Time for which a request counts as in progress without an answer, and the
+   same for one that may be a copy of an answered request: its flow was open
+   before this agent started.  */
+#define REQUEST_TIMEOUT_MS 10000
+#define UNCERTAIN_REQUEST_TIMEOUT_MS 300
+
 /* Interval at which the number of requests that the upstream is known to take
    is raised by one again.  */
 #define CAPACITY_PROBE_MS 500
@@ -104,7 +110,13 @@
   bool has_upstream_isn;
   uint32_t last_caller_ack;
   bool owes_lookup_answer;     /* FLOW_PROBING: the entry waits for one.  */
+  bool is_recovered;           /* Was open before this agent started.  */
+  bool has_caller_end;         /* CALLER_END is set.  */
+  uint32_t caller_end;         /* Sequence number after the caller's payload
+                                  so far.  */
   bool request_active;         /* A request is in progress.  */
+  struct hs_list request_link; /* In active_requests, if REQUEST_ACTIVE.  */
+  bool is_uncertain_request;   /* It may be a copy of an answered one.  */
   uint64_t request_started_at; /* ms  */
   uint32_t requests_at_start;  /* Requests in progress when it started,
                                   including it.  */
@@ -144,6 +156,8 @@
                                     and sent no other segment or heartbeat
                                     since.  */
   uint32_t requests_in_progress;
+  struct hs_list active_requests; /* Flows with a request in progress, oldest
+                                     request first.  */
   struct hs_list pending_syns; /* Flows whose first request is about to come,
                                   oldest first.  */
   uint32_t pending_syns_len;
@@ -201,7 +215,8 @@
 static void set_request_active (struct hs_sidecar *sidecar, struct flow *flow,
                                 bool active);
 static void begin_request (struct hs_sidecar *sidecar, struct flow *flow,
-                           uint64_t now);
+                           const struct hs_segment *segment, uint64_t now);
+static void expire_requests (struct hs_sidecar *sidecar, uint64_t now);
 static void set_flow_open (struct hs_sidecar *sidecar, struct flow *flow,
                            bool open);
 static bool acks_other_handshake (const struct flow *flow,
@@ -232,6 +247,7 @@
   sidecar->recovery_until = UINT64_MAX;
   sidecar->ops = *ops;
   sidecar->ctx = ctx;
+  hs_list_init (&sidecar->active_requests);
   hs_list_init (&sidecar->pending_syns);
   sidecar->flows = hs_segment_flow_table_create (sidecar, sizeof (struct flow),
                                                  HS_SIDECAR_FLOWS_MAX,
@@ -406,6 +422,7 @@
              > FIRST_HEARTBEAT_INTERVALS * sidecar->heartbeat_ms)
     sidecar->recovery_until = 0;
   hs_segment_flow_table_expire (sidecar->flows, FLOW_EXPIRY_MS, now);
+  expire_requests (sidecar, now);
   raise_capacity (sidecar, now);
   if (sidecar->recovery_until != 0 && now >= sidecar->recovery_until)
     sidecar->recovery_until = 0;
@@ -479,6 +496,8 @@
       set_flow_open (sidecar, flow, false);
       flow->state = FLOW_SYN_SENT;
       flow->has_upstream_isn = false;
+      flow->is_recovered = false;
+      flow->has_caller_end = false;
       flow->caller_closed = false;
       flow->upstream_closed = false;
     }
@@ -529,7 +548,7 @@
 is_rejection (const struct hs_sidecar *sidecar, const struct flow *flow,
               uint64_t now)
 {
-  return sidecar->last_heartbeat.slots != 0
+  return sidecar->last_heartbeat.slots != 0 && !flow->is_uncertain_request
          && flow->requests_at_start > sidecar->last_heartbeat.slots + 1
          && now - flow->request_started_at <= REJECTION_MS;
 }
@@ -589,9 +608,10 @@
   flow->state
       = sidecar->recovery_until == 0 ? FLOW_PRESUMED_CLOSED : FLOW_PROBING;
   flow->owes_lookup_answer = owner_only;
+  flow->is_recovered = true;
   flow->entry = *entry;
   if (segment->payload_len > 0)
-    begin_request (sidecar, flow, now);
+    begin_request (sidecar, flow, segment, now);
   return decide (HS_SIDECAR_TO_UPSTREAM, HS_REASON_NONE);
 }
 
@@ -621,7 +641,7 @@
   if ((segment->flags & HS_SEGMENT_ACK) != 0)
     flow->last_caller_ack = segment->ack;
   if (segment->payload_len > 0)
-    begin_request (sidecar, flow, now);
+    begin_request (sidecar, flow, segment, now);
   track_close (sidecar, flow, segment);
   return decision;
 }
@@ -746,7 +766,7 @@
     {
       if (is_rejection (sidecar, flow, now))
         lower_capacity (sidecar, flow, now);
-      else
+      else if (!flow->is_uncertain_request)
         update_mean_work (sidecar, flow, now);
     }
   if (segment->payload_len > 0)
@@ -837,19 +857,51 @@
     return;
   flow->request_active = active;
   sidecar->requests_in_progress += active ? 1 : (uint32_t)-1;
+  if (active)
+    hs_list_append (&sidecar->active_requests, &flow->request_link);
+  else
+    hs_list_remove (&flow->request_link);
 }
 
+/* SEGMENT of the caller has payload.  It begins a request unless one is in
+   progress or all of its payload was seen before.  */
 static void
-begin_request (struct hs_sidecar *sidecar, struct flow *flow, uint64_t now)
+begin_request (struct hs_sidecar *sidecar, struct flow *flow,
+               const struct hs_segment *segment, uint64_t now)
 {
+  uint32_t end = segment->seq + segment->payload_len;
+  bool is_copy
+      = flow->has_caller_end && (int32_t)(end - flow->caller_end) <= 0;
+  bool is_uncertain = flow->is_recovered && !flow->has_caller_end;
+
+  if (is_copy)
+    return;
+  flow->has_caller_end = true;
+  flow->caller_end = end;
   if (flow->request_active)
     return;
   set_syn_pending (sidecar, flow, false, now);
   set_request_active (sidecar, flow, true);
+  flow->is_uncertain_request = is_uncertain;
   flow->request_started_at = now;
   flow->requests_at_start = sidecar->requests_in_progress;
 }
 
+static void
+expire_requests (struct hs_sidecar *sidecar, uint64_t now)
+{
+  HS_LIST_FOREACH (link, &sidecar->active_requests)
+    {
+      struct flow *flow = HS_LIST_ENTRY (link, struct flow, request_link);
+      uint64_t timeout_ms = flow->is_uncertain_request
+                                ? UNCERTAIN_REQUEST_TIMEOUT_MS
+                                : REQUEST_TIMEOUT_MS;
+
+      if (now - flow->request_started_at > timeout_ms)
+        set_request_active (sidecar, flow, false);
+    }
+}
+
 static void
 set_flow_open (struct hs_sidecar *sidecar, struct flow *flow, bool open)
 {
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -368,6 +368,60 @@
   talloc_free (root);
 }
 
+/* A caller that has not got the end of a response sends its request again. The
+   upstream has answered it, and only acknowledges the copy: no request is in
+   progress.  */
+static void
+test_retransmitted_request_not_counted (void)
+{
+  void *root = talloc_new (NULL);
+  struct hs_sidecar *sidecar = create_sidecar (root, NULL, 0);
+  struct hs_segment data = make_segment (HS_SEGMENT_ACK, 1, 101, 501, 50);
+  struct hs_segment response = make_reply (&data, HS_SEGMENT_ACK, 501, 900);
+  struct hs_segment next = make_segment (HS_SEGMENT_ACK, 1, 151, 1401, 50);
+  bool accepted;
+
+  send_heartbeat (sidecar, HS_UPSTREAM_READY, 1, 1, 0);
+  accepted = accepts_syn (sidecar, 1, 10);
+  g_assert_true (accepted);
+  send_from_entry (sidecar, &data, false, 10);
+  g_assert_cmpuint (get_load (sidecar).requests_in_progress, ==, 1);
+  hs_sidecar_handle_upstream_segment (sidecar, &response, 50);
+  send_from_entry (sidecar, &data, false, 60);
+  g_assert_cmpuint (get_load (sidecar).requests_in_progress, ==, 0);
+  send_from_entry (sidecar, &next, false, 70);
+  g_assert_cmpuint (get_load (sidecar).requests_in_progress, ==, 1);
+  talloc_free (root);
+}
+
+/* An agent that has restarted beside its upstream cannot tell a new request on
+   an open flow from a copy of one that was answered before: it counts it for a
+   short time only.  Otherwise many copies, as after a restart of all agents,
+   would make idle upstreams look busy, and their agents refuse flows.  */
+static void
+test_request_of_recovered_flow_expires (void)
+{
+  void *root = talloc_new (NULL);
+  struct hs_sidecar *sidecar = create_sidecar (root, NULL, 5000);
+  uint64_t now = 10;
+
+  send_heartbeat (sidecar, HS_UPSTREAM_READY, 1, 1, now);
+  for (uint16_t port = 1; port <= 50; port++)
+    {
+      struct hs_segment data
+          = make_segment (HS_SEGMENT_ACK, port, 101, 501, 50);
+      struct hs_segment ack = make_reply (&data, HS_SEGMENT_ACK, 501, 0);
+
+      send_from_entry (sidecar, &data, true, now);
+      hs_sidecar_handle_upstream_segment (sidecar, &ack, now);
+    }
+  g_assert_cmpuint (get_load (sidecar).requests_in_progress, ==, 50);
+  hs_sidecar_tick (sidecar, now + 500);
+  g_assert_cmpuint (get_load (sidecar).requests_in_progress, ==, 0);
+  g_assert_cmpuint (get_load (sidecar).open_flows, ==, 50);
+  talloc_free (root);
+}
+
 /* The platform's encoding of segments and heartbeats.  */
 
 static void
@@ -1994,6 +2048,10 @@
                    test_refused_by_one_of_two_agents);
   g_test_add_func ("/segment/overloaded-agent", test_overloaded_agent_refuses);
   g_test_add_func ("/segment/full-queue", test_full_queue_learned);
+  g_test_add_func ("/segment/retransmitted-request",
+                   test_retransmitted_request_not_counted);
+  g_test_add_func ("/segment/request-of-recovered-flow",
+                   test_request_of_recovered_flow_expires);
   g_test_add_func ("/segment/backup-directory",
                    test_backup_directory_names_owner);
   g_test_add_func ("/segment/unknown-at-directories",
