Define shared limits of load once, and name the wait for the uplink

The priority from which flows count as low, the slots of an unknown upstream and the factor of a cold one stood in two files each; an unused field of the entry is gone. No change of behaviour.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -1134,6 +1134,15 @@
 /* Overload: how long a request may wait for a slot of an upstream, and how
    long it is expected to.  */
 
+#define HS_LOW_PRIORITY_MIN 2 /* Priorities from this number on are low.  */
+
+/* Slots of an upstream that has not reported any.  */
+#define HS_SLOTS_DEFAULT 1
+
+/* Documented work of a request at a cold upstream, as a share of its work at a
+   warm one.  */
+#define HS_COLD_WORK_PERCENT 160
+
 /* Returns the time that REQUESTS at an upstream with SLOTS (0: not known)
    would make the last of them wait for a slot, in microseconds.  MEAN_WORK_US:
    mean time of a request in a slot; 0: not known.  */
@@ -1339,8 +1348,8 @@
   const struct hs_pool_agent *least_busy; /* RESET by overload of the agents:
                                              the one with the shortest
                                              expected wait.  Else NULL.  */
-  uint64_t uplink_queue_ms; /* RESET by overload of the uplink: its queue.
-                               Else 0.  */
+  uint64_t uplink_wait_ms; /* RESET by overload of the uplink: the time that a
+                              segment would wait for it.  Else 0.  */
   size_t queried_agents; /* QUEUE: agents in the first round of the lookup that
                             this segment started.  Else 0.  */
   size_t agents_len;
@@ -1397,7 +1406,9 @@
 hs_forwarder_route (struct hs_forwarder *forwarder,
                     const struct hs_segment *segment, uint64_t now);
 
-/* Decides on a SYN that the agent AGENT_ID has refused for REASON.  */
+/* Decides on a SYN that the agent AGENT_ID has refused for REASON: another
+   agent is tried, up to HS_SYN_AGENTS_MAX in all.  The caller is reset only if
+   no other agent has the SYN.  */
 struct hs_forward_decision hs_forwarder_handle_refused_syn (
     struct hs_forwarder *forwarder, const struct hs_segment *syn,
     uint64_t agent_id, enum hs_reason reason, uint64_t now);
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -92,7 +92,6 @@
   uint64_t started_at;      /* ms of the wall clock.  */
   uint64_t last_segment_at; /* ms, when a caller's last segment came.  */
   uint64_t draining_since;  /* ms; 0: not draining.  */
-  uint64_t expired_at;      /* Not used.  */
 };
 
 /* Where the pending segments of a flow are sent.  */
@@ -871,7 +870,7 @@
                     decision->least_busy, now);
   else
     hs_log_write (entry->log, HS_LOG_INFO,
-                  decision->uplink_queue_ms > 0          ? "flow-refused"
+                  decision->uplink_wait_ms > 0           ? "flow-refused"
                   : decision->action == HS_FORWARD_RESET ? "flow-reset"
                   : decision->action == HS_FORWARD_DROP  ? "segment-dropped"
                                                          : "holder-asked",
@@ -879,7 +878,7 @@
                   "address", address, "version", routing_version (entry),
                   "reason", hs_reason_name (decision->reason), "agents",
                   (int)(decision->agents_len + decision->queried_agents),
-                  "link_ms", (json_int_t)decision->uplink_queue_ms);
+                  "link_ms", (json_int_t)decision->uplink_wait_ms);
 }
 
 /* Logs EVENT, a decision made by the load of AGENT.  */
--- a/src/segment/agent_pool.c
+++ b/src/segment/agent_pool.c
@@ -23,12 +23,6 @@
    its slots.  */
 #define OTHER_ZONE_PENALTY 0.35
 
-/* Documented factor by which a cold upstream is slower.  */
-#define COLD_UPSTREAM_FACTOR 1.6
-
-/* Slots of an upstream that has not reported any.  */
-#define SLOTS_DEFAULT 1
-
 /* Age up to which a load report is preferred to older ones.  */
 #define FRESH_REPORT_MS 300
 
@@ -371,13 +365,13 @@
 load_of (const struct hs_pool_agent *agent)
 {
   const struct hs_load_report *report = &agent->report;
-  uint32_t slots = report->slots != 0 ? report->slots : SLOTS_DEFAULT;
+  uint32_t slots = report->slots != 0 ? report->slots : HS_SLOTS_DEFAULT;
   double load
       = (report->requests_in_progress + agent->placed_flows + 1
          + OPEN_FLOW_SLOTS * (report->open_flows + agent->placed_flows))
         / slots;
 
   if (report->cold_ms > 0)
-    load *= COLD_UPSTREAM_FACTOR;
+    load = load * HS_COLD_WORK_PERCENT / 100;
   return agent->is_same_zone ? load : load + OTHER_ZONE_PENALTY;
 }
--- a/src/segment/forwarder.c
+++ b/src/segment/forwarder.c
@@ -403,7 +403,7 @@
   struct hs_forward_decision decision = hs_forward_decision_without_agents (
       HS_FORWARD_RESET, HS_REASON_OVERLOADED);
 
-  decision.uplink_queue_ms
+  decision.uplink_wait_ms
       = hs_uplink_wait_ms (forwarder->uplink, HS_EGRESS_BULK, now);
   return decision;
 }
--- a/src/segment/overload.c
+++ b/src/segment/overload.c
@@ -17,10 +17,6 @@
    latency objective leaves after the work itself.  */
 #define HIGH_PRIORITY_WAIT_PERCENT 60
 #define LOW_PRIORITY_WAIT_PERCENT 25
-#define LOW_PRIORITY_MIN 2 /* Priorities from this number on are low.  */
-
-/* Slots of an upstream that has not reported any.  */
-#define SLOTS_DEFAULT 1
 
 /* Private functions.  */
 
@@ -33,7 +29,7 @@
 uint64_t
 hs_overload_wait_us (uint64_t requests, uint32_t slots, uint32_t mean_work_us)
 {
-  uint64_t known_slots = slots != 0 ? slots : SLOTS_DEFAULT;
+  uint64_t known_slots = slots != 0 ? slots : HS_SLOTS_DEFAULT;
 
   return requests > known_slots
              ? mean_work_us * (requests - known_slots) / known_slots
@@ -70,8 +66,9 @@
 static uint64_t
 wait_max_us (uint32_t slo_ms, uint32_t priority, uint32_t mean_work_us)
 {
-  uint64_t percent = priority < LOW_PRIORITY_MIN ? HIGH_PRIORITY_WAIT_PERCENT
-                                                 : LOW_PRIORITY_WAIT_PERCENT;
+  uint64_t percent = priority < HS_LOW_PRIORITY_MIN
+                         ? HIGH_PRIORITY_WAIT_PERCENT
+                         : LOW_PRIORITY_WAIT_PERCENT;
   uint64_t slo_us = (uint64_t)slo_ms * 1000;
   uint64_t slack_us = slo_us > mean_work_us ? slo_us - mean_work_us : 0;
 
--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -54,14 +54,12 @@
    upstream counts as silent.  The handshake takes less than 10 ms.  */
 #define SYN_TIMEOUT_MS 150
 
-/* Time after a SYN within which its request counts as about to come: the round
-   trip to the caller, and its retransmission at the entry.  */
+/* Time after a SYN within which its request counts as about to come.  It takes
+   a round trip to the caller, and longer if the entry has it queued.  */
 #define SYN_PENDING_MS 100
 
-/* Work of a request as long as none has been answered, and the factor by which
-   a cold upstream is slower.  */
+/* Work of a request as long as none has been answered.  */
 #define WORK_DEFAULT_US 40000
-#define COLD_WORK_PERCENT 160
 
 /* A request that finds all slots busy and is answered this soon has been
    rejected by the upstream, whose queue is full.  */
@@ -531,7 +529,7 @@
   if (work_us == 0)
     work_us = WORK_DEFAULT_US;
   if (sidecar->cold_until > now)
-    work_us = work_us * COLD_WORK_PERCENT / 100;
+    work_us = work_us * HS_COLD_WORK_PERCENT / 100;
   requests = (uint64_t)sidecar->requests_in_progress
              + sidecar->pending_syns_len + 1;
   if (wait_max_ms == 0)
--- a/src/segment/uplink.c
+++ b/src/segment/uplink.c
@@ -39,7 +39,6 @@
    An upload waits again for each window of its segments.  */
 #define UPLOAD_WAIT_PERCENT 25
 #define LOW_PRIORITY_WAIT_PERCENT 50
-#define LOW_PRIORITY_MIN 2 /* Priorities from this number on are low.  */
 #define SLO_DEFAULT_MS 800 /* Latency objective of routes without one.  */
 
 struct hs_uplink
@@ -106,7 +105,7 @@
   if (request_class == HS_REQUEST_CLASS_UPLOAD)
     return hs_uplink_wait_ms (uplink, HS_EGRESS_BULK, now)
            > objective_ms * UPLOAD_WAIT_PERCENT / 100;
-  return priority >= LOW_PRIORITY_MIN
+  return priority >= HS_LOW_PRIORITY_MIN
          && hs_uplink_wait_ms (uplink, HS_EGRESS_SHORT, now)
                 > objective_ms * LOW_PRIORITY_WAIT_PERCENT / 100;
 }
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -1343,7 +1343,7 @@
   decision = hs_forwarder_route (entry.forwarder, &syn, 0);
   g_assert_cmpint (decision.action, ==, HS_FORWARD_RESET);
   g_assert_cmpint (decision.reason, ==, HS_REASON_OVERLOADED);
-  g_assert_cmpuint (decision.uplink_queue_ms, ==, 192);
+  g_assert_cmpuint (decision.uplink_wait_ms, ==, 192);
   syn.to.port = 8080;
   g_assert_cmpint (hs_forwarder_route (entry.forwarder, &syn, 0).action, ==,
                    HS_FORWARD_TO_AGENTS);
