Replace a silent member of the control group whatever the group's size

Cause: a host that joins was added as long as the group had fewer than five members, and a silent member was removed only if it had five. A group of three became one of four with a member that is gone for good; the next replacement left two of the three votes that it needs.

Groups of four and five were not affected.

Ruled out: the successor's join (37 ms from the first heartbeat to its membership), the disk (no disk-lost).

Change: a host that joins takes the place of a member that has been silent for 4 s, at any size. An odd group with a member that fell silent less than that ago waits before it grows, and a group of four removes a silent member even if no host joins, since three tolerate as many losses as four. An odd group never shrinks on its own: fewer disks would have each entry.

Why it works: the number of members that are gone is at most one when the majority is counted, as before in groups of five; each change is still of one member, and committed before the next.

--- a/src/consensus/replica_leader.c
+++ b/src/consensus/replica_leader.c
@@ -32,14 +32,19 @@
 static bool has_majority_contact (const struct hs_replica *replica,
                                   uint64_t now);
 static void update_members (struct hs_replica *replica, uint64_t now);
+static bool update_joining (struct hs_replica *replica,
+                            const struct peer *peer, uint64_t now);
 static const struct hs_control_host *
-find_replaced_member (const struct hs_replica *replica,
-                      const struct peer *joining, uint64_t now);
+find_member_at (const struct hs_replica *replica, const struct hs_addr *addr);
+static const struct hs_control_host *
+find_silent_member (const struct hs_replica *replica, uint64_t silent_ms,
+                    uint64_t now);
 static void propose_remove (struct hs_replica *replica, uint64_t id,
                             uint64_t now);
 static void propose_add (struct hs_replica *replica,
                          const struct hs_control_host *host, uint64_t now);
 static bool members_are_committed (const struct hs_replica *replica);
+static bool is_even (size_t len);
 
 /* Public definitions.  */
 
@@ -411,13 +416,14 @@
 static void
 update_members (struct hs_replica *replica, uint64_t now)
 {
+  const struct hs_control_host *silent;
+
   if (replica->commit_index < replica->term_first_index
       || !members_are_committed (replica))
     return;
   HS_LIST_FOREACH (link, &replica->peers)
     {
       struct peer *peer = HS_LIST_ENTRY (link, struct peer, link);
-      const struct hs_control_host *replaced;
 
       if (hs_replica_is_member (replica, peer->host.id))
         continue;
@@ -428,42 +434,71 @@
           talloc_free (peer);
           continue;
         }
-      if (peer->match_index + JOIN_LAG_MAX < replica->commit_index
-          || peer->match_index == 0)
-        continue;
-      replaced = find_replaced_member (replica, peer, now);
-      if (replaced != NULL)
-        {
-          propose_remove (replica, replaced->id, now);
-          return;
-        }
-      if (replica->members.len < GROUP_TARGET_SIZE)
-        {
-          propose_add (replica, &peer->host, now);
-          return;
-        }
+      if (update_joining (replica, peer, now))
+        return;
+    }
+  /* A group of four tolerates no more losses than one of three.  An odd group
+     keeps a silent member until another host can take its place, so that as
+     many disks as before have each entry.  */
+  silent = find_silent_member (replica, MEMBER_TIMEOUT_MS, now);
+  if (silent != NULL && is_even (replica->members.len)
+      && replica->members.len > GROUP_MIN_SIZE)
+    propose_remove (replica, silent->id, now);
+}
+
+/* Makes PEER a member once it has caught up.  A member that is gone is removed
+   first: one at the same address, which has lost its disk, or one that has
+   been silent for MEMBER_TIMEOUT_MS.  Returns whether the members changed.  */
+static bool
+update_joining (struct hs_replica *replica, const struct peer *peer,
+                uint64_t now)
+{
+  const struct hs_control_host *replaced
+      = find_member_at (replica, &peer->host.inner_address);
+
+  if (peer->match_index + JOIN_LAG_MAX < replica->commit_index
+      || peer->match_index == 0)
+    return false;
+  if (replaced == NULL)
+    replaced = find_silent_member (replica, MEMBER_TIMEOUT_MS, now);
+  if (replaced != NULL)
+    {
+      propose_remove (replica, replaced->id, now);
+      return true;
     }
+  if (replica->members.len >= GROUP_TARGET_SIZE)
+    return false;
+  /* An even group needs one host more for its majority.  The silent member
+     may be about to be replaced by PEER.  */
+  if (!is_even (replica->members.len)
+      && find_silent_member (replica, QUORUM_TIMEOUT_MS, now) != NULL)
+    return false;
+  propose_add (replica, &peer->host, now);
+  return true;
+}
+
+/* Returns the other member at ADDR, or NULL.  */
+static const struct hs_control_host *
+find_member_at (const struct hs_replica *replica, const struct hs_addr *addr)
+{
+  for (size_t i = 0; i < replica->members.len; i++)
+    if (replica->members.hosts[i].id != replica->self.id
+        && hs_addr_equal (&replica->members.hosts[i].inner_address, addr))
+      return &replica->members.hosts[i];
+  return NULL;
 }
 
-/* Returns the member that is to be removed so that JOINING can be added, or
-   NULL.  A member with the address of JOINING has lost its disk.  Any other
-   is removed only if the group is full and it has been silent for
-   MEMBER_TIMEOUT_MS.  */
+/* Returns a member that has not replied for longer than SILENT_MS, or NULL. */
 static const struct hs_control_host *
-find_replaced_member (const struct hs_replica *replica,
-                      const struct peer *joining, uint64_t now)
+find_silent_member (const struct hs_replica *replica, uint64_t silent_ms,
+                    uint64_t now)
 {
   for (size_t i = 0; i < replica->members.len; i++)
     {
       const struct hs_control_host *host = &replica->members.hosts[i];
       const struct peer *peer = find_peer (replica, host->id);
 
-      if (peer == NULL)
-        continue;
-      if (hs_addr_equal (&host->inner_address, &joining->host.inner_address))
-        return host;
-      if (replica->members.len >= GROUP_TARGET_SIZE
-          && now - peer->last_heard_at > MEMBER_TIMEOUT_MS)
+      if (peer != NULL && now - peer->last_heard_at > silent_ms)
         return host;
     }
   return NULL;
@@ -505,3 +540,9 @@
     }
   return true;
 }
+
+static bool
+is_even (size_t len)
+{
+  return len % 2 == 0;
+}
--- a/src/consensus/replica_state.h
+++ b/src/consensus/replica_state.h
@@ -22,13 +22,16 @@
 #define FREEZE_THRESHOLD_MS 400
 #define JOIN_RETRY_MS 500
 
-/* A member silent for this long may be replaced by a host that joins.  */
+/* A member silent for this long is replaced by a host that joins.  */
 #define MEMBER_TIMEOUT_MS 4000
 
 /* Voting hosts.  Five tolerate the loss of two; more would only add
    messages.  */
 #define GROUP_TARGET_SIZE 5
 
+/* Voting hosts that a group keeps even if one of them is gone.  */
+#define GROUP_MIN_SIZE 3
+
 /* Applied entries that the log keeps on average, for followers that lag.  A
    compaction drops all of them, and runs when there are twice as many.  */
 #define LOG_KEPT_MEAN 16
--- a/tests/fakes/group.c
+++ b/tests/fakes/group.c
@@ -11,10 +11,10 @@
 
 /* Times are in ms of virtual time.  */
 
-#define SIMULATED_HOSTS_MAX 8 /* Including replacements.  */
+#define SIMULATED_HOSTS_MAX 10 /* Including replacements.  */
 #define SEED_HOSTS 3
-#define END_MS 16000           /* End of a run; a leader must exist then.  */
-#define CHANGES_UNTIL_MS 12000 /* Operators stop then.  */
+#define END_MS 16000      /* End of a run; a leader must exist then.  */
+#define QUIET_END_MS 4000 /* Operators stop that long before the end.  */
 #define CHANGE_INTERVAL_MS 70
 #define FAULTS_UNTIL_MS 7000 /* Later ones are ignored.  */
 /* A leader should exist by then; not checked.  */
@@ -36,8 +36,9 @@
   EVENT_MESSAGE,
   EVENT_SYNCED, /* A sync completes or fails.  */
   EVENT_RESTART,
-  EVENT_CHANGE,    /* An operator sends a change and a read.  */
-  EVENT_DISK_RETRY /* A failed disk is tried again with a rewrite.  */
+  EVENT_HOST_CHANGE, /* The next change of the plan.  */
+  EVENT_CHANGE,      /* An operator sends a change and a read.  */
+  EVENT_DISK_RETRY   /* A failed disk is tried again with a rewrite.  */
 };
 
 struct event
@@ -103,8 +104,11 @@
   struct host hosts[SIMULATED_HOSTS_MAX];
   size_t hosts_len;
   struct hs_control_members seeds;
+  struct hs_addr seed_addresses[SEED_HOSTS]; /* For hosts that start.  */
   const struct group_scheduled_fault *faults;
   size_t faults_len;
+  const struct group_scheduled_change *changes; /* Those to come.  */
+  uint64_t end_ms;
   uint64_t packet_loss_until;
   uint64_t duplicates_until;
   uint64_t partition_until;
@@ -192,6 +196,32 @@
   clear_records (&host->unsynced);
 }
 
+/* Removes HOST for good.  */
+static void
+remove_host (struct host *host)
+{
+  stop_host (host);
+  host->is_removed = true;
+}
+
+/* Starts a host with an empty disk after a delay.  It takes the place of
+   REMOVED, unless that is NULL, among the seeds of hosts that start.  */
+static void
+add_host (struct simulation *simulation, const struct host *removed)
+{
+  const struct host *host = &simulation->hosts[simulation->hosts_len];
+
+  if (simulation->hosts_len == SIMULATED_HOSTS_MAX)
+    return;
+  simulation->hosts_len++;
+  for (size_t i = 0; removed != NULL && i < SEED_HOSTS; i++)
+    if (hs_addr_equal (&simulation->seed_addresses[i],
+                       &removed->self.inner_address))
+      simulation->seed_addresses[i] = host->self.inner_address;
+  add_event (simulation, simulation->now + RESTART_DELAY_MS, EVENT_RESTART,
+             host->number);
+}
+
 static void
 inject_fault (struct simulation *simulation, enum group_fault fault,
               size_t number)
@@ -230,11 +260,8 @@
       stop_host (host);
       break;
     case GROUP_FAULT_REPLACE_HOST:
-      stop_host (host);
-      host->is_removed = true;
-      if (simulation->hosts_len < SIMULATED_HOSTS_MAX)
-        add_event (simulation, now + RESTART_DELAY_MS, EVENT_RESTART,
-                   simulation->hosts_len++);
+      remove_host (host);
+      add_host (simulation, host);
       break;
     case GROUP_FAULT_FREEZE:
       host->frozen_until = now + FREEZE_MS;
@@ -441,7 +468,6 @@
   struct simulation *simulation = host->simulation;
   struct hs_replica_ops ops = { on_send,    on_write, on_sync,   on_apply,
                                 on_restore, on_save,  on_changed };
-  struct hs_addr seeds[SEED_HOSTS];
   struct hs_replica *replica;
   uint64_t generation;
 
@@ -471,9 +497,7 @@
       host->self.id = simulation->seeds.hosts[host->number].id;
       hs_replica_bootstrap (replica, host->self.id, &simulation->seeds);
     }
-  for (size_t i = 0; i < SEED_HOSTS; i++)
-    seeds[i] = simulation->seeds.hosts[i].inner_address;
-  hs_replica_set_seeds (replica, seeds, SEED_HOSTS);
+  hs_replica_set_seeds (replica, simulation->seed_addresses, SEED_HOSTS);
   host->replica = replica;
   generation = host->generation;
   hs_replica_start (replica, simulation->now);
@@ -556,7 +580,7 @@
   uint64_t generation = host->generation;
   uint64_t version = ++simulation->next_version;
 
-  if (simulation->now < CHANGES_UNTIL_MS)
+  if (simulation->now + QUIET_END_MS < simulation->end_ms)
     add_event (simulation, simulation->now + CHANGE_INTERVAL_MS, EVENT_CHANGE,
                0);
   if (host->replica == NULL || host->frozen_until > simulation->now
@@ -636,6 +660,51 @@
   return synced <= SEED_HOSTS / 2;
 }
 
+/* Returns the leader or, unless IS_LEADER, the first running host that is
+   none.  NULL if there is none.  */
+static struct host *
+find_running_host (struct simulation *simulation, bool is_leader)
+{
+  for (size_t i = 0; i < simulation->hosts_len; i++)
+    {
+      struct host *host = &simulation->hosts[i];
+
+      if (host->replica != NULL
+          && hs_replica_is_leader (host->replica) == is_leader)
+        return host;
+    }
+  return NULL;
+}
+
+/* Makes the next change of the plan.  */
+static void
+change_hosts (struct simulation *simulation)
+{
+  const struct group_scheduled_change *change = simulation->changes++;
+  struct host *host = find_running_host (
+      simulation, change->kind == GROUP_CHANGE_REPLACE_LEADER);
+
+  g_assert_nonnull (host);
+  switch (change->kind)
+    {
+    case GROUP_CHANGE_REPLACE_LEADER:
+    case GROUP_CHANGE_REPLACE_FOLLOWER:
+      remove_host (host);
+      add_host (simulation, host);
+      break;
+    case GROUP_CHANGE_REMOVE_FOLLOWER:
+      remove_host (host);
+      break;
+    case GROUP_CHANGE_ADD:
+      add_host (simulation, NULL);
+      break;
+    case GROUP_CHANGE_ISOLATE_FOLLOWER:
+      host->inbound_blocked_until = simulation->now + change->for_ms;
+      host->outbound_blocked_until = simulation->now + change->for_ms;
+      break;
+    }
+}
+
 static void
 handle_event (struct simulation *simulation, struct event *event)
 {
@@ -646,6 +715,11 @@
       send_operator_requests (simulation);
       return;
     }
+  if (event->kind == EVENT_HOST_CHANGE)
+    {
+      change_hosts (simulation);
+      return;
+    }
   if (event->kind == EVENT_RESTART)
     {
       if (!host->is_removed && host->replica == NULL)
@@ -696,42 +770,33 @@
 check_final_state (struct simulation *simulation)
 {
   const struct host *leader = NULL;
+  struct hs_control_host known;
 
   for (size_t i = 0; i < simulation->hosts_len; i++)
     if (simulation->hosts[i].replica != NULL
         && hs_replica_is_leader (simulation->hosts[i].replica)
         && hs_replica_confirmed_round (simulation->hosts[i].replica) > 0)
       leader = &simulation->hosts[i];
+  for (size_t i = 0; i < simulation->hosts_len; i++)
+    simulation->report.without_leader
+        += simulation->hosts[i].replica != NULL
+           && !hs_replica_leader (simulation->hosts[i].replica, &known);
   if (leader == NULL)
     simulation->report.no_leader++;
   else if (leader->version < simulation->max_acknowledged)
     simulation->report.lost_writes++;
 }
 
-/* Public definitions.  */
-
-const char *
-group_fault_name (enum group_fault fault)
+static struct group_report
+run (struct simulation *simulation)
 {
-  return fault_names[fault];
-}
-
-struct group_report
-group_simulate (uint64_t seed, const struct group_scheduled_fault *faults,
-                size_t len)
-{
-  struct simulation simulation = { .root = talloc_new (NULL),
-                                   .random = seed * 2 + 1,
-                                   .faults = faults,
-                                   .faults_len = len,
-                                   .hosts_len = GROUP_HOSTS };
+  size_t len = simulation->hosts_len;
 
-  hs_list_init (&simulation.events);
   for (size_t i = 0; i < SIMULATED_HOSTS_MAX; i++)
     {
-      struct host *host = &simulation.hosts[i];
+      struct host *host = &simulation->hosts[i];
 
-      host->simulation = &simulation;
+      host->simulation = simulation;
       host->number = i;
       host->self.inner_address
           = hs_addr_from_ipv4 (0x0a000001 + (uint32_t)i, 7000);
@@ -742,24 +807,64 @@
     }
   for (size_t i = 0; i < SEED_HOSTS; i++)
     {
-      simulation.seeds.hosts[i] = simulation.hosts[i].self;
-      simulation.seeds.hosts[i].id = 100 + i;
+      simulation->seeds.hosts[i] = simulation->hosts[i].self;
+      simulation->seeds.hosts[i].id = 100 + i;
+      simulation->seed_addresses[i] = simulation->hosts[i].self.inner_address;
     }
-  simulation.seeds.len = SEED_HOSTS;
-  for (size_t i = 0; i < GROUP_HOSTS; i++)
-    start_host (&simulation.hosts[i], true);
-  add_event (&simulation, 0, EVENT_CHANGE, 0);
-  while (!hs_list_is_empty (&simulation.events) && simulation.now < END_MS)
+  simulation->seeds.len = SEED_HOSTS;
+  for (size_t i = 0; i < len; i++)
+    start_host (&simulation->hosts[i], true);
+  add_event (simulation, 0, EVENT_CHANGE, 0);
+  while (!hs_list_is_empty (&simulation->events)
+         && simulation->now < simulation->end_ms)
     {
       HS_AUTO_TALLOC struct event *event = HS_LIST_ENTRY (
-          hs_list_pop (&simulation.events), struct event, link);
+          hs_list_pop (&simulation->events), struct event, link);
 
-      simulation.now = event->at;
-      handle_event (&simulation, event);
+      simulation->now = event->at;
+      handle_event (simulation, event);
     }
-  check_final_state (&simulation);
-  talloc_free (simulation.root);
-  return simulation.report;
+  check_final_state (simulation);
+  talloc_free (simulation->root);
+  return simulation->report;
+}
+
+/* Public definitions.  */
+
+const char *
+group_fault_name (enum group_fault fault)
+{
+  return fault_names[fault];
+}
+
+struct group_report
+group_simulate (uint64_t seed, const struct group_scheduled_fault *faults,
+                size_t len)
+{
+  struct simulation simulation = { .root = talloc_new (NULL),
+                                   .random = seed * 2 + 1,
+                                   .faults = faults,
+                                   .faults_len = len,
+                                   .hosts_len = GROUP_HOSTS,
+                                   .end_ms = END_MS };
+
+  hs_list_init (&simulation.events);
+  return run (&simulation);
+}
+
+struct group_report
+group_simulate_plan (uint64_t seed, const struct group_plan *plan)
+{
+  struct simulation simulation = { .root = talloc_new (NULL),
+                                   .random = seed * 2 + 1,
+                                   .hosts_len = plan->hosts,
+                                   .changes = plan->changes,
+                                   .end_ms = plan->end_ms };
+
+  hs_list_init (&simulation.events);
+  for (size_t i = 0; i < plan->changes_len; i++)
+    add_event (&simulation, plan->changes[i].at, EVENT_HOST_CHANGE, 0);
+  return run (&simulation);
 }
 
 bool
--- a/tests/fakes/group.h
+++ b/tests/fakes/group.h
@@ -45,6 +45,32 @@
                         occurs, on the host that sends or requests it.  */
 };
 
+/* Changes of the hosts of a group, at a set time.  */
+enum group_change_kind
+{
+  GROUP_CHANGE_REPLACE_LEADER, /* As GROUP_FAULT_REPLACE_HOST.  */
+  GROUP_CHANGE_REPLACE_FOLLOWER,
+  GROUP_CHANGE_REMOVE_FOLLOWER, /* For good, without a successor.  */
+  GROUP_CHANGE_ADD,             /* A host with an empty disk starts.  */
+  GROUP_CHANGE_ISOLATE_FOLLOWER /* No messages for for_ms.  */
+};
+
+struct group_scheduled_change
+{
+  uint64_t at; /* ms  */
+  enum group_change_kind kind;
+  uint64_t for_ms; /* ISOLATE_FOLLOWER  */
+};
+
+/* A run with changes of the hosts.  */
+struct group_plan
+{
+  size_t hosts; /* At the start, 3 to GROUP_HOSTS.  */
+  uint64_t end_ms;
+  const struct group_scheduled_change *changes; /* By time.  */
+  size_t changes_len;
+};
+
 /* Counts of a run.  */
 struct group_report
 {
@@ -55,6 +81,7 @@
   unsigned int stale_reads;       /* Older than what had been acknowledged.  */
   unsigned int state_regressions; /* A running host's state became older.  */
   unsigned int no_leader;         /* No leader long after the last fault.  */
+  unsigned int without_leader; /* Running hosts that know no leader then.  */
   unsigned int acknowledged;
   unsigned int reads;
   uint64_t longest_gap_ms; /* Between two acknowledgements.  */
@@ -69,6 +96,10 @@
                                     const struct group_scheduled_fault *faults,
                                     size_t len);
 
+/* Runs a group with the changes of PLAN and no faults.  */
+struct group_report group_simulate_plan (uint64_t seed,
+                                         const struct group_plan *plan);
+
 /* Whether the run had no violation and acknowledged at least one change.  */
 bool group_report_passed (const struct group_report *report);
 
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -29,6 +29,10 @@
    leader.  */
 #define ACK_GAP_MAX_MS 3500
 
+/* Allowed time for the acknowledgement of a change while hosts are replaced,
+   as the deployments set it.  */
+#define ACK_MAX_MS 5000
+
 /* Private functions.  */
 
 static unsigned int
@@ -52,10 +56,10 @@
     printf (" %s@%u", group_fault_name (faults[i].fault), faults[i].step);
   printf ("\" two_leaders %u conflicting_entries %u lost_writes %u "
           "stale_reads %u state_regressions %u no_leader %u "
-          "acknowledged %u\n",
+          "without_leader %u acknowledged %u\n",
           report.two_leaders, report.conflicting_entries, report.lost_writes,
           report.stale_reads, report.state_regressions, report.no_leader,
-          report.acknowledged);
+          report.without_leader, report.acknowledged);
   return false;
 }
 
@@ -133,6 +137,65 @@
   g_assert_cmpuint (failed, ==, 0);
 }
 
+/* Runs PLAN with FIXED_SEEDS seeds.  Changes must be acknowledged all the
+   time, with gaps of no more than ACK_MAX_MS.  */
+static void
+run_plan (const struct group_plan *plan)
+{
+  unsigned int failed = 0;
+
+  for (uint64_t seed = 1; seed <= FIXED_SEEDS; seed++)
+    {
+      struct group_report report = group_simulate_plan (seed, plan);
+
+      if (group_report_passed (&report) && report.longest_gap_ms <= ACK_MAX_MS)
+        continue;
+      printf ("# failed: seed %u hosts %zu changes %zu no_leader %u "
+              "without_leader %u lost_writes %u longest_gap_ms %u\n",
+              (unsigned int)seed, plan->hosts, plan->changes_len,
+              report.no_leader, report.without_leader, report.lost_writes,
+              (unsigned int)report.longest_gap_ms);
+      failed++;
+    }
+  g_assert_cmpuint (failed, ==, 0);
+}
+
+/* Guards against a group that keeps members that are gone for good until it
+   has no majority left: each host of a small group is replaced, one by
+   one.  */
+static void
+test_replaced_in_turn (void)
+{
+  static const struct group_scheduled_change changes[]
+      = { { .at = 3000, .kind = GROUP_CHANGE_REPLACE_FOLLOWER },
+          { .at = 13000, .kind = GROUP_CHANGE_REPLACE_LEADER },
+          { .at = 23000, .kind = GROUP_CHANGE_REPLACE_FOLLOWER },
+          { .at = 33000, .kind = GROUP_CHANGE_REPLACE_LEADER } };
+
+  for (size_t hosts = 3; hosts <= GROUP_HOSTS; hosts++)
+    for (size_t len = 1; len <= G_N_ELEMENTS (changes); len++)
+      run_plan (&(struct group_plan){ .hosts = hosts,
+                                      .end_ms = changes[len - 1].at + 10000,
+                                      .changes = changes,
+                                      .changes_len = len });
+}
+
+/* Guards against the loss of the majority when a host is removed after its
+   successor has joined: the group of three has four members for a while.  */
+static void
+test_successor_joins_first (void)
+{
+  static const struct group_scheduled_change changes[]
+      = { { .at = 3000, .kind = GROUP_CHANGE_ADD },
+          { .at = 8000, .kind = GROUP_CHANGE_REMOVE_FOLLOWER },
+          { .at = 18000, .kind = GROUP_CHANGE_REMOVE_FOLLOWER } };
+
+  run_plan (&(struct group_plan){ .hosts = 3,
+                                  .end_ms = 28000,
+                                  .changes = changes,
+                                  .changes_len = G_N_ELEMENTS (changes) });
+}
+
 /* Runs the case in CELL, if there is one.  */
 static void
 test_single_case (void)
@@ -175,6 +238,9 @@
       g_test_add_data_func (path, GINT_TO_POINTER (fault), test_fault_matrix);
     }
   g_test_add_func ("/replica/pairs", test_fault_pairs);
+  g_test_add_func ("/replica/replaced-in-turn", test_replaced_in_turn);
+  g_test_add_func ("/replica/successor-joins-first",
+                   test_successor_joins_first);
   g_test_add_func ("/replica/cell", test_single_case);
   return g_test_run ();
 }
