Look for the owner of a flow among the agents of every service

Cause: an entry that does not know a flow asked only the agents of the service that the route names now. A flow stays with the service it was opened at.

Evidence: flow-reset now says how many agents answered that they do not own the flow.

Change: one more scope of the lookup, the agents of every service, before a reset. The directory agents are as before, so that flows are found by one query while routes stay; flows that nobody owns cost the queries to the other services' agents.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -1351,7 +1351,8 @@
   uint64_t uplink_wait_ms; /* RESET by overload of the uplink: the time that a
                               segment would wait for it.  Else 0.  */
   size_t queried_agents; /* QUEUE: agents in the first round of the lookup that
-                            this segment started.  Else 0.  */
+                            this segment started.  RESET after a lookup: agents
+                            that do not own the flow.  Else 0.  */
   size_t agents_len;
   const struct hs_pool_agent *agents[HS_SYN_AGENTS_MAX];
 };
@@ -1361,8 +1362,10 @@
 struct hs_forwarder_ops
 {
   /* No agent owns the flow of SEGMENT, the caller's latest: answer the caller
-     with a reset and drop the queued segments of the flow.  */
-  void (*reset_caller) (void *ctx, const struct hs_segment *segment);
+     with a reset and drop the queued segments of the flow.  NON_OWNERS agents
+     have answered that they do not own it.  */
+  void (*reset_caller) (void *ctx, const struct hs_segment *segment,
+                        size_t non_owners);
 
   /* Send AGENT a lookup query, which asks whether it owns the flow of SEGMENT,
      the caller's latest.  */
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -118,7 +118,8 @@
 static void on_lookup_answer (struct hs_segment_entry *entry,
                               const struct hs_inner_ownership *answer,
                               uint64_t now);
-static void on_reset_caller (void *ctx, const struct hs_segment *segment);
+static void on_reset_caller (void *ctx, const struct hs_segment *segment,
+                             size_t non_owners);
 static void on_query_owner (void *ctx, const struct hs_pool_agent *agent,
                             const struct hs_segment *segment);
 static void on_send_pending (void *ctx, const struct hs_segment_key *key,
@@ -403,11 +404,13 @@
 }
 
 static void
-on_reset_caller (void *ctx, const struct hs_segment *segment)
+on_reset_caller (void *ctx, const struct hs_segment *segment,
+                 size_t non_owners)
 {
   struct hs_segment_entry *entry = ctx;
-  struct hs_forward_decision decision
-      = { .action = HS_FORWARD_RESET, .reason = HS_REASON_WRONG_HOST };
+  struct hs_forward_decision decision = { .action = HS_FORWARD_RESET,
+                                          .reason = HS_REASON_WRONG_HOST,
+                                          .queried_agents = non_owners };
   struct hs_packet *packet = hs_outbox_add (entry->node->outbox);
   struct hs_segment_key key = hs_segment_key (segment, true);
 
--- a/src/segment/forwarder_state.h
+++ b/src/segment/forwarder_state.h
@@ -15,7 +15,8 @@
   LOOKUP_DIRECTORY,          /* The directory agent of the flow.  */
   LOOKUP_BACKUP_DIRECTORIES, /* Its backups, the next in the ranking.  */
   LOOKUP_ZONE,               /* Agents of the entry's availability zone.  */
-  LOOKUP_ALL
+  LOOKUP_SERVICE,            /* All agents of the route's service.  */
+  LOOKUP_ALL                 /* The agents of every service.  */
 };
 
 /* Agents that keep the directory entry of a flow.  With one, a flow would have
@@ -54,8 +55,8 @@
                           it.  */
   uint32_t caller_seq; /* Seq of the caller's latest queued segment.  */
   uint32_t caller_ack;
-  uint64_t lookup_service_id; /* Only agents of this service are queried; 0: of
-                                 every service.  */
+  uint64_t lookup_service_id; /* Up to LOOKUP_SERVICE, only agents of this
+                                 service are queried; 0: of every service.  */
   size_t unknown_ids_len;
   uint64_t unknown_ids[DIRECTORIES_MAX]; /* Directory agents that have no entry
                                             and do not know whether they own
--- a/src/segment/owner_lookup.c
+++ b/src/segment/owner_lookup.c
@@ -4,7 +4,9 @@
    rendezvous ranking of the flow, to which entries report the owners of
    long-lived flows; then its backups, the next in the ranking, as the first
    may have been started after the report.  Then the agents of the entry's
-   availability zone are queried, and finally all agents.
+   availability zone are queried, then all agents of the service that the route
+   names, and finally those of every service: the flow stays with the service
+   that the route named when it was opened.
 
    The load is highest when an entry has stopped and its flows come to the
    other entries all at once, and after a power failure, when every flow is
@@ -40,6 +42,11 @@
 
 static size_t send_queries (struct hs_forwarder *forwarder,
                             struct hs_forwarder_flow *flow, uint64_t now);
+static size_t find_possible_owners (const struct hs_forwarder *forwarder,
+                                    const struct hs_forwarder_flow *flow,
+                                    enum lookup_scope scope,
+                                    const struct hs_pool_agent **agents,
+                                    uint64_t now);
 static size_t collect_agents (struct hs_forwarder *forwarder,
                               const struct hs_forwarder_flow *flow,
                               const struct hs_pool_agent **to_query,
@@ -214,9 +221,7 @@
 
   flow->directories_checked_at = now;
   set_lookup_service (forwarder, flow);
-  len = hs_agent_pool_possible_owners (forwarder->pool,
-                                       flow->lookup_service_id, agents,
-                                       HS_LOOKUP_AGENTS_MAX, now);
+  len = find_possible_owners (forwarder, flow, LOOKUP_SERVICE, agents, now);
   directories = find_directories (flow, agents, len);
   for (size_t i = 0; i < directories.len; i++)
     digest ^= directories.agents[i]->report.agent_id;
@@ -244,16 +249,16 @@
                                   struct hs_forwarder_flow *flow, uint64_t now)
 {
   struct hs_segment segment = latest_segment (flow);
+  size_t non_owners = flow->non_owner_ids_len;
 
-  if (flow->non_owner_ids_len == 0 || flow->owner_id != 0
-      || flow->syn_agent_ids_len > 0
+  if (non_owners == 0 || flow->owner_id != 0 || flow->syn_agent_ids_len > 0
       || !has_no_owner (forwarder, flow, LOOKUP_ALL, now))
     return;
   flow->non_owner_ids_len = 0;
   flow->is_unowned = true;
   flow->unowned_at = now;
   hs_owner_lookup_stop (flow);
-  forwarder->ops.reset_caller (forwarder->ctx, &segment);
+  forwarder->ops.reset_caller (forwarder->ctx, &segment, non_owners);
 }
 
 void
@@ -308,6 +313,20 @@
   return len;
 }
 
+/* Fills AGENTS, of size HS_LOOKUP_AGENTS_MAX, with the agents that may own the
+   flow, of the services that SCOPE includes.  Returns their number.  */
+static size_t
+find_possible_owners (const struct hs_forwarder *forwarder,
+                      const struct hs_forwarder_flow *flow,
+                      enum lookup_scope scope,
+                      const struct hs_pool_agent **agents, uint64_t now)
+{
+  uint64_t service_id = scope == LOOKUP_ALL ? 0 : flow->lookup_service_id;
+
+  return hs_agent_pool_possible_owners (forwarder->pool, service_id, agents,
+                                        HS_LOOKUP_AGENTS_MAX, now);
+}
+
 /* Fills TO_QUERY with the possible owners in scope that have not answered that
    they do not own the flow.  Returns their number.  */
 static size_t
@@ -316,9 +335,8 @@
                 const struct hs_pool_agent **to_query, uint64_t now)
 {
   const struct hs_pool_agent *agents[HS_LOOKUP_AGENTS_MAX];
-  size_t len = hs_agent_pool_possible_owners (forwarder->pool,
-                                              flow->lookup_service_id, agents,
-                                              HS_LOOKUP_AGENTS_MAX, now);
+  size_t len
+      = find_possible_owners (forwarder, flow, flow->scope, agents, now);
   struct directories directories = find_directories (flow, agents, len);
   size_t to_query_len = 0;
 
@@ -342,9 +360,9 @@
   send_queries (forwarder, flow, now);
 }
 
-/* Only agents of the route's service are queried.  If there is no route, since
-   it has been moved or removed after the flow was opened, or if it has several
-   services, the agents of every service are queried.  */
+/* The agents of the route's service are queried first, and keep the directory
+   entry.  If there is no route or it has several services, the agents of every
+   service are queried at once.  */
 static void
 set_lookup_service (const struct hs_forwarder *forwarder,
                     struct hs_forwarder_flow *flow)
@@ -404,6 +422,7 @@
       return false;
     case LOOKUP_ZONE:
       return agent->is_same_zone;
+    case LOOKUP_SERVICE:
     case LOOKUP_ALL:
       break;
     }
@@ -459,9 +478,7 @@
               uint64_t now)
 {
   const struct hs_pool_agent *agents[HS_LOOKUP_AGENTS_MAX];
-  size_t len = hs_agent_pool_possible_owners (forwarder->pool,
-                                              flow->lookup_service_id, agents,
-                                              HS_LOOKUP_AGENTS_MAX, now);
+  size_t len = find_possible_owners (forwarder, flow, scope, agents, now);
   struct directories directories = find_directories (flow, agents, len);
 
   for (size_t i = 0; i < len; i++)
--- a/tests/fakes/herd.c
+++ b/tests/fakes/herd.c
@@ -394,6 +394,14 @@
                             .agent = address->ip[15] });
 }
 
+static void
+ignore_unowned (void *ctx, const struct hs_segment *segment, size_t non_owners)
+{
+  (void)ctx;
+  (void)segment;
+  (void)non_owners;
+}
+
 static void
 ignore_reset (void *ctx, const struct hs_segment *segment)
 {
@@ -444,7 +452,7 @@
 create_entries (struct simulation *sim)
 {
   struct hs_forwarder_ops ops
-      = { ignore_reset, ignore_query, ignore_pending, ignore_record };
+      = { ignore_unowned, ignore_query, ignore_pending, ignore_record };
   struct hs_load_poller_ops poller_ops = { on_query_load };
   struct hs_egress_ops egress_ops = { ignore_sent };
 
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -103,13 +103,14 @@
 }
 
 static void
-report_load (struct entry *entry, const char *name, const char *zone,
-             enum hs_agent_state state, uint32_t requests, uint64_t now)
+report_load_of (struct entry *entry, const char *service, const char *name,
+                const char *zone, enum hs_agent_state state, uint32_t requests,
+                uint64_t now)
 {
   static uint64_t seq;
   struct hs_load_report load = { .agent_id = hs_id_from_name (name),
                                  .incarnation = 1,
-                                 .service_id = hs_id_from_name (ALPHA),
+                                 .service_id = hs_id_from_name (service),
                                  .state = state,
                                  .slots = 7,
                                  .requests_in_progress = requests };
@@ -119,6 +120,13 @@
   hs_agent_pool_update (entry->pool, &load, now);
 }
 
+static void
+report_load (struct entry *entry, const char *name, const char *zone,
+             enum hs_agent_state state, uint32_t requests, uint64_t now)
+{
+  report_load_of (entry, ALPHA, name, zone, state, requests, now);
+}
+
 static void
 on_reset (void *ctx, const struct hs_segment *segment)
 {
@@ -128,6 +136,14 @@
   resets->last = *segment;
 }
 
+static void
+on_unowned_reset (void *ctx, const struct hs_segment *segment,
+                  size_t non_owners)
+{
+  g_assert_cmpuint (non_owners, >, 0);
+  on_reset (ctx, segment);
+}
+
 static void
 on_query (void *ctx, const struct hs_pool_agent *agent,
           const struct hs_segment *segment)
@@ -189,7 +205,7 @@
 {
   struct entry entry = { .root = talloc_new (NULL) };
   struct hs_forwarder_ops ops
-      = { on_reset, on_query, on_send_pending, on_record };
+      = { on_unowned_reset, on_query, on_send_pending, on_record };
   struct hs_configuration *configuration = hs_platform_decode_configuration (
       NULL, entry.root, json_configuration, strlen (json_configuration), NULL);
 
@@ -1397,6 +1413,38 @@
   talloc_free (entry.root);
 }
 
+/* Guards against resets of open flows after their route was switched to
+   another service: the owner is an agent of the previous one.  */
+static void
+test_owner_of_previous_service (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment data = make_segment (HS_SEGMENT_ACK, 9, 101, 501, 50);
+  struct hs_segment_key key = { data.from, data.to };
+  uint64_t previous = hs_id_from_name ("previous");
+
+  report_load_of (&entry, BETA, "previous", "a", HS_AGENT_READY, 0, 0);
+  hs_forwarder_route (entry.forwarder, &data, 0);
+  answer_not_owned (&entry, &data, hs_id_from_name ("x"));
+  answer_not_owned (&entry, &data, hs_id_from_name ("y"));
+  answer_not_owned (&entry, &data, hs_id_from_name ("z"));
+  g_assert_cmpuint (entry.resets->len, ==, 0);
+  g_assert_cmpuint (entry.calls->queried[entry.calls->queried_len - 1], ==,
+                    previous);
+  hs_forwarder_handle_owned (entry.forwarder, &key, previous, 5);
+  g_assert_cmpuint (entry.calls->sent_to_id, ==, previous);
+  /* If that one does not own the flow either, no agent does.  */
+  data.from.port = 10;
+  hs_forwarder_route (entry.forwarder, &data, 10);
+  answer_not_owned (&entry, &data, hs_id_from_name ("x"));
+  answer_not_owned (&entry, &data, hs_id_from_name ("y"));
+  answer_not_owned (&entry, &data, hs_id_from_name ("z"));
+  g_assert_cmpuint (entry.resets->len, ==, 0);
+  answer_not_owned (&entry, &data, previous);
+  g_assert_cmpuint (entry.resets->len, ==, 1);
+  talloc_free (entry.root);
+}
+
 /* In a service of many agents, each one is queried, and the flow is reset only
    when the last has answered.  */
 static void
@@ -2039,6 +2087,8 @@
   g_test_add_func ("/segment/refused-syn",
                    test_refused_syn_goes_to_next_agent);
   g_test_add_func ("/segment/unknown-flow", test_unknown_flow_looked_up);
+  g_test_add_func ("/segment/owner-of-previous-service",
+                   test_owner_of_previous_service);
   g_test_add_func ("/segment/queries-repeated", test_queries_repeated);
   g_test_add_func ("/segment/query-rate-limited", test_query_rate_limited);
   g_test_add_func ("/segment/recorded-at-directory",
