--- a/tests/e2e/segment_lib.sh
+++ b/tests/e2e/segment_lib.sh
@@ -98,6 +98,12 @@
   return 1
 }
 
+# odd_call METHOD ADDRESS PATH BODY -- prints the status of the response.
+odd_call () {
+  printf '%s' "$4" | curl -s -L -m 2 -o /dev/null -w '%{http_code}' -X "$1" \
+    "http://$2$3" --data-binary @-
+}
+
 # alive NAME... -- whether all these processes run.
 alive () {
   local n
--- a/tests/e2e/segments.sh
+++ b/tests/e2e/segments.sh
@@ -20,6 +20,23 @@
   "http://$NET.2:$API_PORT/v1/configuration" --data "@$WORK/bad.json")
 test "$status" = 400
 
+echo "odd heartbeats and configurations are refused, and end no process"
+nested=$(printf '[%.0s' {1..50000})
+for odd in "\"slots\":4294967296" "\"slots\":1e400" "\"seq\":9e18" \
+  "\"seq\":9223372036854775807" "\"born\":9223372036854775807" \
+  "\"address\":\"$NET.21:65536\"" "\"address\":\"$NET.21:-1\"" \
+  "\"x\":$nested" "\"x\":\"$(printf '\xff')\""; do
+  test "$(odd_call POST "$NET.21:$HEARTBEAT_PORT" \
+    /hibiscusspan/instances/i-1/heartbeat \
+    "{\"service\":\"alpha\",\"address\":\"$NET.21:$UPSTREAM_PORT\",
+\"slots\":8,\"state\":\"draining\",\"coldRemainingMs\":0,\"seq\":99999,
+\"born\":$STARTED_AT_MS,$odd}")" = 400
+  test "$(odd_call PUT "$NET.1:$API_PORT" /v1/configuration \
+    "{\"version\":5,$odd,\"routes\":$nested}")" = 400
+done
+alive agent-1 control-1
+entries_ready
+
 start caller "$BUILD/tests/segment_peer" --listen "$NET.200:$SEGMENT_PORT" \
   --entries "$NET.11:$SEGMENT_PORT,$NET.12:$SEGMENT_PORT" --address "$SERVICE" \
   --flows 30 --requests 160 --pause-ms 60 caller
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -566,6 +566,73 @@
     }
 }
 
+/* Returns COUNT copies of OPENING.  */
+static char *
+nest (const char *opening, size_t count)
+{
+  GString *text = g_string_new (NULL);
+
+  for (size_t i = 0; i < count; i++)
+    g_string_append (text, opening);
+  return g_string_free (text, FALSE);
+}
+
+/* Guards against an agent that ends, or no longer follows its upstream, after
+   a heartbeat of another writer: one that is nested too deeply, or has a
+   number or port that is out of range.  */
+static void
+test_odd_heartbeats (void)
+{
+  static const char format[]
+      = "{\"service\":\"alpha\",\"address\":\"%s\",\"slots\":%s,"
+        "\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":%s,"
+        "\"born\":%s,\"x\":%s}";
+  static const char address[] = "10.0.0.1:8080";
+  g_autofree char *arrays = nest ("[", 100000);
+  g_autofree char *objects = nest ("{\"x\":", 100000);
+  g_autofree char *digits = nest ("9", 100000);
+  const char *const odd[][5] = {
+    { address, "7", "4", "5000", arrays },
+    { address, "7", "4", "5000", objects },
+    { address, "7", "4", "5000", digits },
+    { address, "7", "4", "5000", "1e400" },
+    { address, "4294967296", "4", "5000", "0" },
+    { address, "4294967295", "4", "5000", "0" },
+    { address, "7", "18446744073709551615", "5000", "0" },
+    { address, "7", "9223372036854775807", "5000", "0" },
+    { address, "7", "4", "9223372036854775808", "0" },
+    { address, "7", "4", "9223372036854775807", "0" },
+    { address, "7", "4", "1777316675632000000", "0" },
+    { address, "7", "4", "1e300", "0" },
+    { "10.0.0.1:65536", "7", "4", "5000", "0" },
+    { "10.0.0.1:-1", "7", "4", "5000", "0" },
+    { "10.0.0.1:99999999999999999999", "7", "4", "5000", "0" },
+    { "10.0.0.1:0", "7", "4", "5000", "0" },
+  };
+  void *root = talloc_new (NULL);
+  struct resets resets = { 0 };
+  struct hs_sidecar *sidecar = create_sidecar (root, &resets, 1000);
+  struct hs_load_report load;
+  uint64_t seq = 0;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (odd); i++)
+    {
+      g_autofree char *body = g_strdup_printf (
+          format, odd[i][0], odd[i][1], odd[i][2], odd[i][3], odd[i][4]);
+      struct hs_heartbeat heartbeat;
+
+      send_heartbeat (sidecar, HS_UPSTREAM_READY, 5000, ++seq, i);
+      if (hs_platform_decode_heartbeat (NULL, "i-1", body, strlen (body),
+                                        &heartbeat, NULL))
+        hs_sidecar_handle_heartbeat (sidecar, &heartbeat, i, NULL);
+      send_heartbeat (sidecar, HS_UPSTREAM_DRAINING, 5000, ++seq, i);
+      hs_sidecar_fill_load_report (sidecar, &load);
+      g_assert_cmpint (load.state, ==, HS_AGENT_DRAINING);
+      g_assert_cmpuint (load.slots, ==, 7);
+    }
+  talloc_free (root);
+}
+
 static void
 test_operations_decoded (void)
 {
@@ -2063,6 +2130,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/segment/odd-heartbeats", test_odd_heartbeats);
   g_test_add_func ("/segment/header-example", test_header_example);
   g_test_add_func ("/segment/header-round-trip", test_header_round_trip);
   g_test_add_func ("/segment/truncated-segment",
