Test disks of control hosts that are full one after another

Another operator reported that after the disks of counted hosts had been full for a few seconds each, one after another, changes were refused or unanswered for good, while all processes ran.

--- a/tests/fakes/group.c
+++ b/tests/fakes/group.c
@@ -601,6 +601,16 @@
   pending->round = hs_replica_begin_read (host->replica, simulation->now);
 }
 
+/* Ends the time without an acknowledgement at AT.  */
+static void
+end_gap (struct simulation *simulation, uint64_t at)
+{
+  if (at
+      > simulation->last_acknowledged_at + simulation->report.longest_gap_ms)
+    simulation->report.longest_gap_ms = at - simulation->last_acknowledged_at;
+  simulation->last_acknowledged_at = at;
+}
+
 static void
 acknowledge (struct host *host, const struct pending *pending)
 {
@@ -613,11 +623,7 @@
       return;
     }
   simulation->report.acknowledged++;
-  if (simulation->now - simulation->last_acknowledged_at
-      > simulation->report.longest_gap_ms)
-    simulation->report.longest_gap_ms
-        = simulation->now - simulation->last_acknowledged_at;
-  simulation->last_acknowledged_at = simulation->now;
+  end_gap (simulation, simulation->now);
   if (pending->version > simulation->max_acknowledged)
     simulation->max_acknowledged = pending->version;
 }
@@ -702,6 +708,10 @@
       host->inbound_blocked_until = simulation->now + change->for_ms;
       host->outbound_blocked_until = simulation->now + change->for_ms;
       break;
+    case GROUP_CHANGE_FILL_DISK:
+      simulation->hosts[change->host].disk_full_until
+          = simulation->now + change->for_ms;
+      break;
     }
 }
 
@@ -772,6 +782,7 @@
   const struct host *leader = NULL;
   struct hs_control_host known;
 
+  end_gap (simulation, simulation->end_ms - QUIET_END_MS);
   for (size_t i = 0; i < simulation->hosts_len; i++)
     if (simulation->hosts[i].replica != NULL
         && hs_replica_is_leader (simulation->hosts[i].replica)
--- a/tests/fakes/group.h
+++ b/tests/fakes/group.h
@@ -50,16 +50,18 @@
 {
   GROUP_CHANGE_REPLACE_LEADER, /* As GROUP_FAULT_REPLACE_HOST.  */
   GROUP_CHANGE_REPLACE_FOLLOWER,
-  GROUP_CHANGE_REMOVE_FOLLOWER, /* For good, without a successor.  */
-  GROUP_CHANGE_ADD,             /* A host with an empty disk starts.  */
-  GROUP_CHANGE_ISOLATE_FOLLOWER /* No messages for for_ms.  */
+  GROUP_CHANGE_REMOVE_FOLLOWER,  /* For good, without a successor.  */
+  GROUP_CHANGE_ADD,              /* A host with an empty disk starts.  */
+  GROUP_CHANGE_ISOLATE_FOLLOWER, /* No messages for for_ms.  */
+  GROUP_CHANGE_FILL_DISK         /* Writes of host HOST fail for for_ms.  */
 };
 
 struct group_scheduled_change
 {
   uint64_t at; /* ms  */
   enum group_change_kind kind;
-  uint64_t for_ms; /* ISOLATE_FOLLOWER  */
+  uint64_t for_ms; /* ISOLATE_FOLLOWER, FILL_DISK  */
+  size_t host;     /* FILL_DISK: in the order of their starts.  */
 };
 
 /* A run with changes of the hosts.  */
@@ -84,7 +86,8 @@
   unsigned int without_leader; /* Running hosts that know no leader then.  */
   unsigned int acknowledged;
   unsigned int reads;
-  uint64_t longest_gap_ms; /* Between two acknowledgements.  */
+  uint64_t longest_gap_ms; /* Between two acknowledgements, or from the last
+                              one to the operators' end.  */
 };
 
 /* Returns the name of FAULT in test paths and in CELL, as a static string.  */
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -214,6 +214,36 @@
                                     .changes_len = G_N_ELEMENTS (changes) });
 }
 
+/* Guards against a group that acknowledges nothing any more after the disks of
+   its hosts were full for a few seconds each, one after another.  Hosts that
+   are no members take the place of members meanwhile.  */
+static void
+test_disks_full_in_turn (void)
+{
+  for (uint64_t full_ms = 1000; full_ms <= 7000; full_ms += 1500)
+    {
+      struct group_scheduled_change changes[4 + 9];
+      size_t len = 0;
+      uint64_t at = 1000;
+
+      for (; len < 4; at += 100)
+        changes[len++]
+            = (struct group_scheduled_change){ .at = at,
+                                               .kind = GROUP_CHANGE_ADD };
+      at = 6000;
+      for (size_t host = 0; host < 9; host++, at += full_ms + 500)
+        changes[len++]
+            = (struct group_scheduled_change){ .at = at,
+                                               .kind = GROUP_CHANGE_FILL_DISK,
+                                               .for_ms = full_ms,
+                                               .host = host };
+      run_plan (&(struct group_plan){ .hosts = GROUP_HOSTS,
+                                      .end_ms = at + 15000,
+                                      .changes = changes,
+                                      .changes_len = len });
+    }
+}
+
 /* Runs the case in CELL, if there is one.  */
 static void
 test_single_case (void)
@@ -261,6 +291,7 @@
                    test_successor_joins_first);
   g_test_add_func ("/replica/replaced-while-isolated",
                    test_replaced_while_isolated);
+  g_test_add_func ("/replica/disks-full-in-turn", test_disks_full_in_turn);
   g_test_add_func ("/replica/cell", test_single_case);
   return g_test_run ();
 }
