Expire flows by the idle timeout of the configuration

Cause: the field was decoded, stored and sent to entries, and had no reader; entries and agents removed a flow after 30 s.

Change: entries and agents keep a flow for the timeout in force and 2 s more, and at most for a flow's lifetime (setting max-flow-s, default 60), which bounds the tables at the longest timeout; 0 means no timeout but that. Agents fetch no configuration: load queries carry the timeout with its version, and a change of it has all agents queried within a second. Flow recovery and directory entries last for the lifetime and 15 s, as before with the default.

Entries and agents have to be upgraded together, as before.

Other decoded fields without a reader: a route's timeout_ms was copied into the routing and not used; the copy is removed. The ends keep the time limit.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -960,7 +960,8 @@
   struct hs_service_route *routes;
   size_t services_len;
   const char **service_names;
-  uint32_t flow_idle_ms; /* Silence after which a flow may be closed.  */
+  uint32_t flow_idle_ms; /* Silence after which a flow may be removed; 0: no
+                            limit.  */
 };
 
 /* Parses LEN bytes of JSON and checks their syntax and types only.  Returns a
@@ -993,7 +994,6 @@
   struct hs_table_node node;
   struct hs_addr address;
   enum hs_request_class request_class;
-  uint32_t timeout_ms;
   uint32_t slo_ms;       /* Latency objective of a request; 0: none.  */
   uint32_t priority;     /* 0 is the highest.  */
   uint32_t total_weight; /* Sum of the weights in SPLITS; not 0.  */
@@ -1008,6 +1008,15 @@
 uint64_t hs_routing_version (const struct hs_routing *routing);
 uint32_t hs_routing_flow_idle_ms (const struct hs_routing *routing);
 
+/* Lifetime after which callers and upstreams give up a flow, unless a setting
+   says otherwise.  */
+#define HS_FLOW_LIFETIME_DEFAULT_MS 60000
+
+/* Returns the silence in ms after which a host removes a flow.  FLOW_IDLE_MS
+   is that of the configuration, 0 for none; LIFETIME_MS is the longest
+   lifetime of a flow, which bounds the number of flows that are kept.  */
+uint64_t hs_flow_expiry_ms (uint32_t flow_idle_ms, uint64_t lifetime_ms);
+
 /* Returns the rule of the route to ADDRESS, which is owned by ROUTING, or NULL
    if there is no such route.  */
 const struct hs_routing_rule *
@@ -1214,6 +1223,9 @@
 void hs_load_poller_handle_syn (struct hs_load_poller *poller,
                                 uint64_t service_id, uint64_t now);
 
+/* Has all agents queried in the next ticks.  */
+void hs_load_poller_query_all (struct hs_load_poller *poller);
+
 /* Call this every HS_LOAD_POLLER_TICK_MS.  */
 void hs_load_poller_tick (struct hs_load_poller *poller, uint64_t now);
 
@@ -1393,6 +1405,11 @@
                                           void *ctx);
 void hs_forwarder_destroy (struct hs_forwarder *forwarder);
 
+/* LIFETIME_MS: longest lifetime of a flow, HS_FLOW_LIFETIME_DEFAULT_MS before
+   the first call.  */
+void hs_forwarder_set_flow_lifetime (struct hs_forwarder *forwarder,
+                                     uint64_t lifetime_ms);
+
 /* COMPLETE: every running agent has reported, so that a flow is known to have
    no owner once all agents of the pool have answered that they do not own it.
    False at first.  */
@@ -1450,7 +1467,8 @@
 
 struct hs_directory;
 
-struct hs_directory *hs_directory_create (void *parent);
+/* LIFETIME_MS: longest lifetime of a flow.  */
+struct hs_directory *hs_directory_create (void *parent, uint64_t lifetime_ms);
 void hs_directory_destroy (struct hs_directory *directory);
 
 /* Records the agent OWNER_ID as the owner of a flow.  A full directory drops
@@ -1554,6 +1572,17 @@
                                       void *ctx);
 void hs_sidecar_destroy (struct hs_sidecar *sidecar);
 
+/* LIFETIME_MS: longest lifetime of a flow, HS_FLOW_LIFETIME_DEFAULT_MS before
+   the first call.  */
+void hs_sidecar_set_flow_lifetime (struct hs_sidecar *sidecar,
+                                   uint64_t lifetime_ms);
+
+/* FLOW_IDLE_MS is that of the configuration of version VERSION.  Earlier
+   versions than that of the previous call are ignored.  Before the first call,
+   flows are kept for their longest lifetime.  */
+void hs_sidecar_set_flow_idle (struct hs_sidecar *sidecar, uint64_t version,
+                               uint32_t flow_idle_ms);
+
 /* Returns false and sets HS_ERROR_INVALID if HEARTBEAT has another service or
    address than this upstream, or a state other than ready and draining.  One
    that is not newer than the latest is ignored, and true is returned.  */
--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -245,6 +245,7 @@
       = { on_upstream_packet, on_inner_message, on_configuration,
           on_agents_changed,  on_tick,          on_drain };
   struct hs_sidecar_ops sidecar_ops = { on_flow_lost };
+  uint64_t flow_lifetime_ms = (uint64_t)(settings->flow_lifetime_s * 1000);
   struct hs_worker *worker;
 
   agent->node
@@ -256,7 +257,8 @@
   agent->sidecar = hs_sidecar_create (
       worker, settings->service_name, &settings->upstream_address,
       settings->heartbeat_ms, hs_clock_wall (), &sidecar_ops, agent);
-  agent->directory = hs_directory_create (worker);
+  hs_sidecar_set_flow_lifetime (agent->sidecar, flow_lifetime_ms);
+  agent->directory = hs_directory_create (worker, flow_lifetime_ms);
   agent->load_queriers = hs_load_queriers_create (worker);
   hs_worker_watch_ring (worker, agent->calls, on_call, agent);
   hs_receiver_watch (agent->node->datapath->receiver, agent->outbound_fd,
@@ -413,6 +415,10 @@
   if (message->type == HS_INNER_LOAD_QUERY)
     {
       hs_load_queriers_add (agent->load_queriers, &packet->peer, now);
+      if (message->load_query.configuration_version != 0)
+        hs_sidecar_set_flow_idle (agent->sidecar,
+                                  message->load_query.configuration_version,
+                                  message->load_query.flow_idle_ms);
       send_load_report (agent, &packet->peer);
     }
   if (message->type == HS_INNER_LOOKUP_QUERY)
@@ -440,7 +446,7 @@
                     message->segment_header.service_id);
 }
 
-/* Agents do not use the configuration.  */
+/* Agents fetch no configuration; load queries tell them what they need.  */
 static bool
 on_configuration (void *ctx, uint64_t base_version, const uint8_t *bytes,
                   size_t len)
--- a/src/agent/segment_agent.h
+++ b/src/agent/segment_agent.h
@@ -23,7 +23,8 @@
 
   /* Only the port is used: callers receive segments on it.  */
   struct hs_addr caller_receive_address;
-  uint64_t heartbeat_ms; /* Heartbeat period of the upstream, ms.  */
+  uint64_t heartbeat_ms;  /* Heartbeat period of the upstream, ms.  */
+  double flow_lifetime_s; /* Longest lifetime of a flow.  */
   const struct hs_adapter *adapter;
 };
 
--- a/src/agent/segment_main.c
+++ b/src/agent/segment_main.c
@@ -10,6 +10,7 @@
 /* Types.  */
 
 #define HEARTBEAT_INTERVAL_MAX_MS 60000
+#define FLOW_LIFETIME_MAX_S 86400
 
 struct program_settings
 {
@@ -39,6 +40,9 @@
   { "caller-at", HS_SETTING_ADDR, NULL, 0, 0,
     OFFSET (agent.caller_receive_address),
     "IP:PORT of which only the port is used: callers receive segments on it" },
+  { "max-flow-s", HS_SETTING_DECIMAL, "60", 1, FLOW_LIFETIME_MAX_S,
+    OFFSET (agent.flow_lifetime_s),
+    "longest lifetime of a flow, s; bounds the flows that are kept" },
   { "heartbeat-ms", HS_SETTING_UINT, "1000", 10, HEARTBEAT_INTERVAL_MAX_MS,
     OFFSET (agent.heartbeat_ms), "heartbeat period of the upstream, ms" },
 };
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -243,6 +243,8 @@
   entry->forwarder = hs_forwarder_create (
       entry->node->datapath->decision_worker, entry->pool, entry->uplink,
       &forwarder_ops, entry);
+  hs_forwarder_set_flow_lifetime (
+      entry->forwarder, (uint64_t)(settings->flow_lifetime_s * 1000));
   entry->pending_segments
       = hs_pending_segments_create (entry->node->datapath->decision_worker);
   entry->unplaced_syns
@@ -559,6 +561,9 @@
   entry->routing = hs_routing_create (entry->node->datapath->decision_worker,
                                       configuration);
   hs_forwarder_set_routing (entry->forwarder, entry->routing);
+  if (old != NULL
+      && hs_routing_flow_idle_ms (old) != configuration->flow_idle_ms)
+    hs_load_poller_query_all (entry->load_poller);
   hs_follower_set_version (entry->node->follower, configuration->version);
   hs_routing_destroy (old);
   hs_counter_set (entry->metrics.configuration_version,
@@ -610,6 +615,13 @@
   struct hs_segment_entry *entry = ctx;
   struct hs_inner message = { .type = HS_INNER_LOAD_QUERY };
 
+  if (entry->routing != NULL)
+    {
+      message.load_query.configuration_version
+          = hs_routing_version (entry->routing);
+      message.load_query.flow_idle_ms
+          = hs_routing_flow_idle_ms (entry->routing);
+    }
   hs_counter_add (entry->metrics.load_queries, 1);
   send_message (entry, address, &message, hs_clock_monotonic ());
 }
--- a/src/entry/segment_entry.h
+++ b/src/entry/segment_entry.h
@@ -20,7 +20,8 @@
   struct hs_addrs seeds;           /* API addresses of control hosts.  */
   uint64_t seed_port;              /* Port of the seeds' inner addresses.  */
   double uplink_mbps; /* Rate of this host's uplink, Mbit/s; 0: unlimited.  */
-  uint64_t drain_max_ms; /* Longest wait for callers' segments to cease.  */
+  double flow_lifetime_s; /* Longest lifetime of a flow.  */
+  uint64_t drain_max_ms;  /* Longest wait for callers' segments to cease.  */
   const struct hs_adapter *adapter;
 };
 
--- a/src/entry/segment_main.c
+++ b/src/entry/segment_main.c
@@ -12,6 +12,8 @@
 #define DRAIN_MAX_LIMIT_MS 3600000 /* 1 h.  */
 #define UPLINK_MAX_MBPS 1000000
 
+#define FLOW_LIFETIME_MAX_S 86400
+
 struct program_settings
 {
   struct hs_daemon_settings common;
@@ -33,6 +35,9 @@
   { "link-mbps", HS_SETTING_DECIMAL, "0", 0, UPLINK_MAX_MBPS,
     OFFSET (entry.uplink_mbps),
     "rate of this host's uplink, Mbit/s; 0: unlimited" },
+  { "max-flow-s", HS_SETTING_DECIMAL, "60", 1, FLOW_LIFETIME_MAX_S,
+    OFFSET (entry.flow_lifetime_s),
+    "longest lifetime of a flow, s; bounds the flows that are kept" },
   { "drain-max-ms", HS_SETTING_UINT, "5000", 0, DRAIN_MAX_LIMIT_MS,
     OFFSET (entry.drain_max_ms),
     "longest time that a stop waits for callers' segments to cease, ms" },
--- a/src/segment/directory.c
+++ b/src/segment/directory.c
@@ -12,8 +12,9 @@
 
 /* Types.  */
 
-/* The longest lifetime of a flow plus its idle timeout.  */
-#define DIRECTORY_ENTRY_LIFETIME_MS 75000
+/* Time by which an entry is kept longer than the longest lifetime of a flow.
+ */
+#define ENTRY_EXPIRY_MARGIN_MS 15000
 
 struct directory_entry
 {
@@ -24,15 +25,17 @@
 struct hs_directory
 {
   struct hs_segment_flow_table *entries;
+  uint64_t lifetime_ms; /* Of a flow.  */
 };
 
 /* Public definitions.  */
 
 struct hs_directory *
-hs_directory_create (void *parent)
+hs_directory_create (void *parent, uint64_t lifetime_ms)
 {
   struct hs_directory *directory = talloc_zero (parent, struct hs_directory);
 
+  directory->lifetime_ms = lifetime_ms;
   directory->entries = hs_segment_flow_table_create (
       directory, sizeof (struct directory_entry), HS_DIRECTORY_ENTRIES_MAX,
       NULL, NULL);
@@ -72,6 +75,7 @@
 void
 hs_directory_expire (struct hs_directory *directory, uint64_t now)
 {
-  hs_segment_flow_table_expire (directory->entries,
-                                DIRECTORY_ENTRY_LIFETIME_MS, now);
+  hs_segment_flow_table_expire (
+      directory->entries, directory->lifetime_ms + ENTRY_EXPIRY_MARGIN_MS,
+      now);
 }
--- a/src/segment/forwarder.c
+++ b/src/segment/forwarder.c
@@ -16,10 +16,6 @@
 
 /* Types.  */
 
-/* Idle time after which the entry removes a flow: twice the default idle
-   timeout of flows.  */
-#define FLOW_EXPIRY_MS 30000
-
 /* From this retransmission on, a SYN goes to another agent as well: by then,
    the SYN and its first retransmission have gone unanswered.  */
 #define SYN_RETRANSMISSION_OTHER_AGENT 2
@@ -76,6 +72,7 @@
   forwarder->uplink = uplink;
   forwarder->ops = *ops;
   forwarder->ctx = ctx;
+  forwarder->flow_lifetime_ms = HS_FLOW_LIFETIME_DEFAULT_MS;
   forwarder->flows = hs_segment_flow_table_create (
       forwarder, sizeof (struct hs_forwarder_flow), HS_FORWARDER_FLOWS_MAX,
       on_flow_removed, NULL);
@@ -89,6 +86,13 @@
   talloc_free (forwarder);
 }
 
+void
+hs_forwarder_set_flow_lifetime (struct hs_forwarder *forwarder,
+                                uint64_t lifetime_ms)
+{
+  forwarder->flow_lifetime_ms = lifetime_ms;
+}
+
 void
 hs_forwarder_set_pool_complete (struct hs_forwarder *forwarder, bool complete,
                                 uint64_t now)
@@ -176,7 +180,13 @@
 void
 hs_forwarder_tick (struct hs_forwarder *forwarder, uint64_t now)
 {
-  hs_segment_flow_table_expire (forwarder->flows, FLOW_EXPIRY_MS, now);
+  uint32_t idle_ms = forwarder->routing != NULL
+                         ? hs_routing_flow_idle_ms (forwarder->routing)
+                         : 0;
+
+  hs_segment_flow_table_expire (
+      forwarder->flows,
+      hs_flow_expiry_ms (idle_ms, forwarder->flow_lifetime_ms), now);
   hs_owner_lookup_tick (forwarder, now);
 }
 
--- a/src/segment/forwarder_state.h
+++ b/src/segment/forwarder_state.h
@@ -75,6 +75,7 @@
   struct hs_forwarder_ops ops;
   void *ctx;
   const struct hs_routing *routing; /* NULL: none yet.  */
+  uint64_t flow_lifetime_ms;        /* Longest lifetime of a flow.  */
   bool pool_complete;               /* Every running agent has reported.  */
   uint64_t pool_complete_at; /* ms, of the latest update of POOL_COMPLETE.  */
   struct hs_segment_flow_table *flows;
--- a/src/segment/load_poller.c
+++ b/src/segment/load_poller.c
@@ -57,7 +57,7 @@
   uint64_t service_id;
   bool is_same_zone;
   bool is_unanswered;  /* Asked, and has not answered since.  */
-  uint64_t queried_at; /* ms, of the latest query; 0: none.  */
+  uint64_t queried_at; /* ms, of the latest query; 0: due now.  */
   uint64_t retry_ms;
 };
 
@@ -182,6 +182,13 @@
   poll_service (poller, service, true, SYN_POLL_SAME_ZONE, now);
 }
 
+void
+hs_load_poller_query_all (struct hs_load_poller *poller)
+{
+  HS_LIST_FOREACH (link, &poller->agents)
+    HS_LIST_ENTRY (link, struct polled_agent, link)->queried_at = 0;
+}
+
 void
 hs_load_poller_tick (struct hs_load_poller *poller, uint64_t now)
 {
--- a/src/segment/routing.c
+++ b/src/segment/routing.c
@@ -179,7 +179,6 @@
 
   rule->address = route->address;
   rule->request_class = route->request_class;
-  rule->timeout_ms = route->timeout_ms;
   rule->slo_ms = route->slo_ms;
   rule->priority = route->priority;
   rule->splits_len = route->splits_len;
--- a/src/segment/segment.c
+++ b/src/segment/segment.c
@@ -5,6 +5,13 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* Types.  */
+
+/* Time by which a flow is kept longer than its idle timeout or lifetime: a
+   host sees its last segment earlier than the ends do, and an entry sees only
+   the segments of the caller.  */
+#define FLOW_EXPIRY_MARGIN_MS 2000
+
 /* Public definitions.  */
 
 uint64_t
@@ -37,3 +44,13 @@
   return (segment->flags & HS_SEGMENT_SYN) != 0
          && (segment->flags & (HS_SEGMENT_ACK | HS_SEGMENT_RST)) == 0;
 }
+
+uint64_t
+hs_flow_expiry_ms (uint32_t flow_idle_ms, uint64_t lifetime_ms)
+{
+  uint64_t idle_ms = flow_idle_ms != 0 && flow_idle_ms < lifetime_ms
+                         ? flow_idle_ms
+                         : lifetime_ms;
+
+  return idle_ms + FLOW_EXPIRY_MARGIN_MS;
+}
--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -18,13 +18,9 @@
 
 /* Types.  */
 
-/* Idle time after which the agent removes a flow: twice the default idle
-   timeout of flows.  */
-#define FLOW_EXPIRY_MS 30000
-
-/* Duration of the flow recovery: the longest lifetime of a flow plus its idle
-   timeout.  */
-#define FLOW_RECOVERY_MS 75000
+/* Time by which the flow recovery is longer than the longest lifetime of a
+   flow.  */
+#define FLOW_RECOVERY_MARGIN_MS 15000
 
 /* If the upstream started less than this before its agent, both started
    together and there is nothing to recover: in so short a time an earlier
@@ -131,9 +127,13 @@
   char service_name[HS_NAME_SIZE];
   uint64_t service_id;
   struct hs_addr upstream;
-  uint64_t heartbeat_ms;  /* Interval of the heartbeats.  */
-  uint64_t started_at;    /* Wall clock of the agent's start, ms.  */
-  uint64_t first_tick_at; /* ms; 0: not yet.  */
+  uint64_t heartbeat_ms;      /* Interval of the heartbeats.  */
+  uint64_t started_at;        /* Wall clock of the agent's start, ms.  */
+  uint64_t first_tick_at;     /* ms; 0: not yet.  */
+  uint64_t flow_lifetime_ms;  /* Longest lifetime of a flow.  */
+  uint64_t flow_idle_version; /* Version of the configuration that FLOW_IDLE_MS
+                                 is from; 0: none yet.  */
+  uint32_t flow_idle_ms;
   struct hs_sidecar_ops ops;
   void *ctx;
   struct hs_segment_flow_table *flows;
@@ -243,6 +243,7 @@
   sidecar->heartbeat_ms = heartbeat_ms;
   sidecar->started_at = started_at;
   sidecar->recovery_until = UINT64_MAX;
+  sidecar->flow_lifetime_ms = HS_FLOW_LIFETIME_DEFAULT_MS;
   sidecar->ops = *ops;
   sidecar->ctx = ctx;
   hs_list_init (&sidecar->active_requests);
@@ -260,6 +261,22 @@
   talloc_free (sidecar);
 }
 
+void
+hs_sidecar_set_flow_lifetime (struct hs_sidecar *sidecar, uint64_t lifetime_ms)
+{
+  sidecar->flow_lifetime_ms = lifetime_ms;
+}
+
+void
+hs_sidecar_set_flow_idle (struct hs_sidecar *sidecar, uint64_t version,
+                          uint32_t flow_idle_ms)
+{
+  if (version < sidecar->flow_idle_version)
+    return;
+  sidecar->flow_idle_version = version;
+  sidecar->flow_idle_ms = flow_idle_ms;
+}
+
 bool
 hs_sidecar_handle_heartbeat (struct hs_sidecar *sidecar,
                              const struct hs_heartbeat *heartbeat,
@@ -419,7 +436,10 @@
       && now - sidecar->first_tick_at
              > FIRST_HEARTBEAT_INTERVALS * sidecar->heartbeat_ms)
     sidecar->recovery_until = 0;
-  hs_segment_flow_table_expire (sidecar->flows, FLOW_EXPIRY_MS, now);
+  hs_segment_flow_table_expire (
+      sidecar->flows,
+      hs_flow_expiry_ms (sidecar->flow_idle_ms, sidecar->flow_lifetime_ms),
+      now);
   expire_requests (sidecar, now);
   raise_capacity (sidecar, now);
   if (sidecar->recovery_until != 0 && now >= sidecar->recovery_until)
@@ -725,7 +745,8 @@
   if (!is_first)
     discard_flows (sidecar);
   else if (heartbeat->started_at + SIMULTANEOUS_START_MS < sidecar->started_at)
-    sidecar->recovery_until = now + FLOW_RECOVERY_MS;
+    sidecar->recovery_until
+        = now + sidecar->flow_lifetime_ms + FLOW_RECOVERY_MARGIN_MS;
 }
 
 static void
--- a/src/wire/inner.c
+++ b/src/wire/inner.c
@@ -18,7 +18,7 @@
   [HS_INNER_OWNERSHIP] = 7,    [HS_INNER_LOAD_REPORT] = 15,
   [HS_INNER_HEARTBEAT] = 10,   [HS_INNER_STATUS] = 6,
   [HS_INNER_FETCH] = 4,        [HS_INNER_CHUNK] = 6,
-  [HS_INNER_LOOKUP_QUERY] = 8, [HS_INNER_LOAD_QUERY] = 1,
+  [HS_INNER_LOOKUP_QUERY] = 8, [HS_INNER_LOAD_QUERY] = 3,
 };
 
 /* Private functions.  */
@@ -138,6 +138,9 @@
       pack_lookup_query (out, &inner->queried_segment);
       break;
     case HS_INNER_LOAD_QUERY:
+      msgpack_pack_uint64 (out, inner->load_query.configuration_version);
+      msgpack_pack_uint32 (out, inner->load_query.flow_idle_ms);
+      break;
     case HS_INNER_NONE:
     case HS_INNER_REPLICA:
     case HS_INNER_TYPE_COUNT:
@@ -253,6 +256,10 @@
       unpack_lookup_query (in, &inner->queried_segment);
       break;
     case HS_INNER_LOAD_QUERY:
+      inner->load_query.configuration_version
+          = hs_unpack_uint (in, UINT64_MAX);
+      inner->load_query.flow_idle_ms
+          = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
       break;
     case HS_INNER_NONE:
     case HS_INNER_REPLICA:
--- a/src/wire/inner.h
+++ b/src/wire/inner.h
@@ -83,6 +83,13 @@
   struct hs_inner_addrs agents;
 };
 
+/* Agents fetch no configuration: they learn the idle timeout from queries.  */
+struct hs_inner_load_query
+{
+  uint64_t configuration_version; /* In force at the entry; 0: none yet.  */
+  uint32_t flow_idle_ms;          /* As in struct hs_configuration.  */
+};
+
 struct hs_inner_chunk
 {
   uint64_t version;      /* Version of the configuration.  */
@@ -107,6 +114,7 @@
     struct hs_segment queried_segment; /* LOOKUP_QUERY: the caller's latest
                                           one; payload_len is not sent.  */
     struct hs_load_report load_report;
+    struct hs_inner_load_query load_query;
     struct hs_inner_heartbeat heartbeat;
     struct hs_inner_status status;
     struct hs_inner_chunk chunk; /* CHUNK; FETCH sends version, base_version
--- a/tests/test_inner.c
+++ b/tests/test_inner.c
@@ -109,6 +109,9 @@
       memcpy (inner.chunk.bytes, "abc", 3);
       break;
     case HS_INNER_LOAD_QUERY:
+      inner.load_query.configuration_version = 7;
+      inner.load_query.flow_idle_ms = 15000;
+      break;
     case HS_INNER_NONE:
     case HS_INNER_REPLICA:
     case HS_INNER_TYPE_COUNT:
--- a/tests/test_poller.c
+++ b/tests/test_poller.c
@@ -258,6 +258,23 @@
   talloc_free (sim);
 }
 
+/* Guards against agents that learn of a changed idle timeout seconds later:
+   all are queried within a second, a few in each tick.  */
+static void
+test_all_queried (void)
+{
+  struct simulation *sim = sim_create (300);
+
+  run (sim, 10000, 0);
+  for (size_t i = 0; i < 300; i++)
+    sim->agents[i].queries = 0;
+  hs_load_poller_query_all (sim->poller);
+  run (sim, 11000, 0);
+  for (size_t i = 0; i < 300; i++)
+    g_assert_cmpuint (sim->agents[i].queries, >, 0);
+  talloc_free (sim);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -267,5 +284,6 @@
   g_test_add_func ("/poller/start", test_agents_known_after_start);
   g_test_add_func ("/poller/stopped", test_stopped_agents);
   g_test_add_func ("/poller/list", test_list_changes);
+  g_test_add_func ("/poller/all-queried", test_all_queried);
   return g_test_run ();
 }
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -868,6 +868,90 @@
   talloc_free (entry.root);
 }
 
+/* Returns a routing with the routes of json_configuration and IDLE_MS.  */
+static struct hs_routing *
+make_routing (void *root, const char *idle_ms)
+{
+  static const char old[] = "\"idleTimeoutMs\":12000";
+  const char *found = strstr (json_configuration, old);
+  g_autofree char *json = g_strdup_printf (
+      "%.*s\"idleTimeoutMs\":%s%s", (int)(found - json_configuration),
+      json_configuration, idle_ms, found + strlen (old));
+  struct hs_configuration *configuration = hs_platform_decode_configuration (
+      NULL, root, json, strlen (json), NULL);
+
+  g_assert_nonnull (configuration);
+  return hs_routing_create (root, configuration);
+}
+
+/* Guards against an idle timeout of the configuration that has no effect: the
+   entry keeps a flow for the timeout in force, changed while the flow is open,
+   but not for longer than a flow lives.  */
+static void
+test_entry_follows_idle_timeout (void)
+{
+  static const struct
+  {
+    const char *idle_ms;
+    uint64_t kept_ms;
+    uint64_t removed_ms;
+  } cases[] = { { "5000", 5000, 8000 },
+                { "15000", 15000, 18000 },
+                { "45000", 45000, 48000 },
+                { "600000", 60000, 63000 },
+                { "0", 60000, 63000 } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct entry entry = entry_create (0);
+      struct hs_segment syn = make_segment (HS_SEGMENT_SYN, 9, 100, 0, 0);
+
+      hs_forwarder_route (entry.forwarder, &syn, 0);
+      hs_forwarder_tick (entry.forwarder, 1000);
+      hs_forwarder_set_routing (entry.forwarder,
+                                make_routing (entry.root, cases[i].idle_ms));
+      hs_forwarder_tick (entry.forwarder, cases[i].kept_ms);
+      g_assert_cmpuint (hs_forwarder_flows_len (entry.forwarder), ==, 1);
+      hs_forwarder_tick (entry.forwarder, cases[i].removed_ms);
+      g_assert_cmpuint (hs_forwarder_flows_len (entry.forwarder), ==, 0);
+      talloc_free (entry.root);
+    }
+}
+
+/* The same for an agent, which is told the timeout by the entries.  An entry
+   that has not seen the newest configuration yet changes nothing.  */
+static void
+test_agent_follows_idle_timeout (void)
+{
+  void *root = talloc_new (NULL);
+  struct resets resets = { 0 };
+  struct hs_sidecar *sidecar = create_sidecar (root, &resets, 1000);
+  struct hs_segment syn = make_segment (HS_SEGMENT_SYN, 9, 100, 0, 0);
+  struct hs_segment syn_ack
+      = make_reply (&syn, HS_SEGMENT_SYN | HS_SEGMENT_ACK, 500, 0);
+  struct hs_segment data = make_segment (HS_SEGMENT_ACK, 9, 101, 501, 50);
+
+  send_heartbeat (sidecar, HS_UPSTREAM_READY, 1000, 1, 0);
+  send_from_entry (sidecar, &syn, false, 0);
+  hs_sidecar_handle_upstream_segment (sidecar, &syn_ack, 0);
+  send_from_entry (sidecar, &data, false, 0);
+  /* The timeout is not known yet.  */
+  hs_sidecar_tick (sidecar, 59000);
+  g_assert_cmpint (hs_sidecar_lookup (sidecar, &data, 59000), ==,
+                   HS_LOOKUP_OWNED);
+  hs_sidecar_set_flow_idle (sidecar, 7, 45000);
+  hs_sidecar_set_flow_idle (sidecar, 6, 15000);
+  send_from_entry (sidecar, &data, false, 59000);
+  hs_sidecar_tick (sidecar, 59000 + 45000);
+  g_assert_cmpint (hs_sidecar_lookup (sidecar, &data, 59000 + 45000), ==,
+                   HS_LOOKUP_OWNED);
+  hs_sidecar_set_flow_idle (sidecar, 8, 15000);
+  hs_sidecar_tick (sidecar, 59000 + 45000);
+  g_assert_cmpint (hs_sidecar_lookup (sidecar, &data, 59000 + 45000), ==,
+                   HS_LOOKUP_NOT_OWNED);
+  talloc_free (root);
+}
+
 /* From its second retransmission on, an unanswered SYN also goes to another
    agent.  */
 static void
@@ -1303,7 +1387,7 @@
 test_directory (void)
 {
   void *root = talloc_new (NULL);
-  struct hs_directory *directory = hs_directory_create (root);
+  struct hs_directory *directory = hs_directory_create (root, 60000);
   struct hs_segment_key key
       = { parse_addr ("100.64.0.7:1"), parse_addr ("198.18.0.1:80") };
 
@@ -2150,6 +2234,10 @@
   g_test_add_func ("/segment/all-started-since", test_all_started_since);
   g_test_add_func ("/segment/late-report", test_late_report_ignored);
   g_test_add_func ("/segment/flow-stays", test_flow_stays_at_agent);
+  g_test_add_func ("/segment/entry-idle-timeout",
+                   test_entry_follows_idle_timeout);
+  g_test_add_func ("/segment/agent-idle-timeout",
+                   test_agent_follows_idle_timeout);
   g_test_add_func ("/segment/unanswered-syn",
                    test_unanswered_syn_goes_to_second_agent);
   g_test_add_func ("/segment/refused-syn",
