Remember the former services of a route, for lookups among many agents

Cause: the scope of every service has no bound.

Change: a routing inherits the services that the one before named for the same address, for as long as flows opened there may live. If the agents of every service are too many, those of the route's present and former services are queried.

Test: segment/former-services (1,024 agents of another service), which fails without the change: no reset after the last answer.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -989,9 +989,17 @@
   uint32_t weight; /* Share of new flows, relative to the route's others.  */
 };
 
+/* A service that an earlier configuration named for the route.  */
+struct hs_former_service
+{
+  uint64_t service_id;
+  uint64_t until; /* ms, when the last flow opened there has ended.  */
+};
+
 struct hs_routing_rule
 {
   struct hs_table_node node;
+  struct hs_list link; /* In the rules of the routing.  */
   struct hs_addr address;
   enum hs_request_class request_class;
   uint32_t slo_ms;       /* Latency objective of a request; 0: none.  */
@@ -999,12 +1007,21 @@
   uint32_t total_weight; /* Sum of the weights in SPLITS; not 0.  */
   size_t splits_len;
   struct hs_rule_split splits[HS_SPLITS_MAX];
+  size_t former_len; /* Of the latest HS_SPLITS_MAX.  */
+  struct hs_former_service former[HS_SPLITS_MAX];
 };
 
 /* CONFIGURATION must have passed hs_configuration_check; it is copied.  */
 struct hs_routing *
 hs_routing_create (void *parent, const struct hs_configuration *configuration);
 void hs_routing_destroy (struct hs_routing *routing);
+
+/* Adds to the rules of ROUTING, as former services, those that PREVIOUS has
+   for the same addresses.  UNTIL: ms, when the last flow opened under PREVIOUS
+   has ended.  */
+void hs_routing_inherit (struct hs_routing *routing,
+                         const struct hs_routing *previous, uint64_t now,
+                         uint64_t until);
 uint64_t hs_routing_version (const struct hs_routing *routing);
 uint32_t hs_routing_flow_idle_ms (const struct hs_routing *routing);
 
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -133,6 +133,10 @@
                             const struct hs_load_report *report, uint64_t now);
 static bool on_configuration (void *ctx, uint64_t base_version,
                               const uint8_t *bytes, size_t len);
+static void replace_routing (struct hs_segment_entry *entry,
+                             const struct hs_configuration *configuration,
+                             uint64_t now);
+static uint64_t flow_lifetime_ms (const struct hs_segment_entry *entry);
 static uint8_t *decode_update (struct hs_segment_entry *entry,
                                uint64_t base_version, const uint8_t *bytes,
                                size_t len, size_t *uncompressed_len,
@@ -243,8 +247,7 @@
   entry->forwarder = hs_forwarder_create (
       entry->node->datapath->decision_worker, entry->pool, entry->uplink,
       &forwarder_ops, entry);
-  hs_forwarder_set_flow_lifetime (
-      entry->forwarder, (uint64_t)(settings->flow_lifetime_s * 1000));
+  hs_forwarder_set_flow_lifetime (entry->forwarder, flow_lifetime_ms (entry));
   entry->pending_segments
       = hs_pending_segments_create (entry->node->datapath->decision_worker);
   entry->unplaced_syns
@@ -540,7 +543,6 @@
       = uncompressed != NULL ? hs_configuration_unpack (
             NULL, uncompressed, uncompressed_len, &error)
                              : NULL;
-  struct hs_routing *old = entry->routing;
 
   if (configuration == NULL)
     {
@@ -550,7 +552,8 @@
       talloc_free (uncompressed);
       return false;
     }
-  if (old != NULL && configuration->version <= hs_routing_version (old))
+  if (entry->routing != NULL
+      && configuration->version <= hs_routing_version (entry->routing))
     {
       talloc_free (uncompressed);
       return true;
@@ -558,14 +561,8 @@
   talloc_free (entry->configuration_bytes);
   entry->configuration_bytes = uncompressed;
   entry->configuration_len = uncompressed_len;
-  entry->routing = hs_routing_create (entry->node->datapath->decision_worker,
-                                      configuration);
-  hs_forwarder_set_routing (entry->forwarder, entry->routing);
-  if (old != NULL
-      && hs_routing_flow_idle_ms (old) != configuration->flow_idle_ms)
-    hs_load_poller_query_all (entry->load_poller);
+  replace_routing (entry, configuration, hs_clock_monotonic ());
   hs_follower_set_version (entry->node->follower, configuration->version);
-  hs_routing_destroy (old);
   hs_counter_set (entry->metrics.configuration_version,
                   configuration->version);
   hs_log_write (entry->log, HS_LOG_INFO, "configuration-in-force",
@@ -576,6 +573,30 @@
   return true;
 }
 
+static void
+replace_routing (struct hs_segment_entry *entry,
+                 const struct hs_configuration *configuration, uint64_t now)
+{
+  struct hs_routing *old = entry->routing;
+
+  entry->routing = hs_routing_create (entry->node->datapath->decision_worker,
+                                      configuration);
+  hs_forwarder_set_routing (entry->forwarder, entry->routing);
+  if (old == NULL)
+    return;
+  hs_routing_inherit (entry->routing, old, now,
+                      now + flow_lifetime_ms (entry));
+  if (hs_routing_flow_idle_ms (old) != configuration->flow_idle_ms)
+    hs_load_poller_query_all (entry->load_poller);
+  hs_routing_destroy (old);
+}
+
+static uint64_t
+flow_lifetime_ms (const struct hs_segment_entry *entry)
+{
+  return (uint64_t)(entry->settings.flow_lifetime_s * 1000);
+}
+
 /* Returns the uncompressed encoding of a configuration, and its length in
    bytes in UNCOMPRESSED_LEN.  BYTES hold the whole configuration, compressed,
    if BASE_VERSION is 0, and otherwise a patch based on the version
--- a/src/segment/owner_lookup.c
+++ b/src/segment/owner_lookup.c
@@ -47,6 +47,10 @@
                                     enum lookup_scope scope,
                                     const struct hs_pool_agent **agents,
                                     uint64_t now);
+static size_t find_owners_of_named (const struct hs_forwarder *forwarder,
+                                    const struct hs_forwarder_flow *flow,
+                                    const struct hs_pool_agent **agents,
+                                    uint64_t now);
 static size_t collect_agents (struct hs_forwarder *forwarder,
                               const struct hs_forwarder_flow *flow,
                               const struct hs_pool_agent **to_query,
@@ -314,7 +318,9 @@
 }
 
 /* Fills AGENTS, of size HS_LOOKUP_AGENTS_MAX, with the agents that may own the
-   flow, of the services that SCOPE includes.  Returns their number.  */
+   flow, of the services that SCOPE includes.  Returns their number.  If there
+   are too many to query those of every service, the widest scope includes the
+   services that the route has named, as far as this entry knows.  */
 static size_t
 find_possible_owners (const struct hs_forwarder *forwarder,
                       const struct hs_forwarder_flow *flow,
@@ -322,9 +328,39 @@
                       const struct hs_pool_agent **agents, uint64_t now)
 {
   uint64_t service_id = scope == LOOKUP_ALL ? 0 : flow->lookup_service_id;
+  size_t len = hs_agent_pool_possible_owners (
+      forwarder->pool, service_id, agents, HS_LOOKUP_AGENTS_MAX, now);
+
+  if (len < HS_LOOKUP_AGENTS_MAX || service_id == flow->lookup_service_id)
+    return len;
+  return find_owners_of_named (forwarder, flow, agents, now);
+}
 
-  return hs_agent_pool_possible_owners (forwarder->pool, service_id, agents,
-                                        HS_LOOKUP_AGENTS_MAX, now);
+/* As find_possible_owners, with the services that the route names and those
+   that it has named.  */
+static size_t
+find_owners_of_named (const struct hs_forwarder *forwarder,
+                      const struct hs_forwarder_flow *flow,
+                      const struct hs_pool_agent **agents, uint64_t now)
+{
+  const struct hs_routing_rule *rule
+      = hs_routing_find (forwarder->routing, &flow->base.key.address);
+  uint64_t services[1 + 2 * HS_SPLITS_MAX] = { flow->lookup_service_id };
+  size_t services_len = 1;
+  size_t len = 0;
+
+  for (size_t i = 0; rule != NULL && i < rule->splits_len; i++)
+    if (rule->splits[i].service_id != flow->lookup_service_id)
+      services[services_len++] = rule->splits[i].service_id;
+  for (size_t i = 0; rule != NULL && i < rule->former_len; i++)
+    if (rule->former[i].until > now
+        && rule->former[i].service_id != flow->lookup_service_id)
+      services[services_len++] = rule->former[i].service_id;
+  for (size_t i = 0; i < services_len; i++)
+    len += hs_agent_pool_possible_owners (forwarder->pool, services[i],
+                                          agents + len,
+                                          HS_LOOKUP_AGENTS_MAX - len, now);
+  return len;
 }
 
 /* Fills TO_QUERY with the possible owners in scope that have not answered that
--- a/src/segment/routing.c
+++ b/src/segment/routing.c
@@ -12,7 +12,8 @@
 {
   uint64_t version;
   uint32_t flow_idle_ms;
-  struct hs_table *rules; /* Key: address.  */
+  struct hs_table *by_address;
+  struct hs_list rules; /* struct hs_routing_rule  */
 };
 
 /* Private functions.  */
@@ -29,6 +30,8 @@
                          const char *service);
 static void add_rule (struct hs_routing *routing,
                       const struct hs_service_route *route);
+static void add_former (struct hs_routing_rule *rule, uint64_t service_id,
+                        uint64_t until);
 static uint64_t address_hash (const struct hs_addr *address);
 static bool match_address (const struct hs_table_node *node, const void *key);
 static bool set_error (const struct hs_service_route *route,
@@ -57,7 +60,8 @@
 
   routing->version = configuration->version;
   routing->flow_idle_ms = configuration->flow_idle_ms;
-  routing->rules = hs_table_create (routing);
+  routing->by_address = hs_table_create (routing);
+  hs_list_init (&routing->rules);
   for (size_t i = 0; i < configuration->routes_len; i++)
     add_rule (routing, &configuration->routes[i]);
   return routing;
@@ -69,6 +73,28 @@
   talloc_free (routing);
 }
 
+void
+hs_routing_inherit (struct hs_routing *routing,
+                    const struct hs_routing *previous, uint64_t now,
+                    uint64_t until)
+{
+  HS_LIST_FOREACH (link, &routing->rules)
+    {
+      struct hs_routing_rule *rule
+          = HS_LIST_ENTRY (link, struct hs_routing_rule, link);
+      const struct hs_routing_rule *old
+          = hs_routing_find (previous, &rule->address);
+
+      if (old == NULL)
+        continue;
+      for (size_t i = 0; i < old->splits_len; i++)
+        add_former (rule, old->splits[i].service_id, until);
+      for (size_t i = 0; i < old->former_len; i++)
+        if (old->former[i].until > now)
+          add_former (rule, old->former[i].service_id, old->former[i].until);
+    }
+}
+
 uint64_t
 hs_routing_version (const struct hs_routing *routing)
 {
@@ -86,7 +112,7 @@
                  const struct hs_addr *address)
 {
   struct hs_table_node *node = hs_table_find (
-      routing->rules, address_hash (address), match_address, address);
+      routing->by_address, address_hash (address), match_address, address);
 
   return node != NULL ? HS_LIST_ENTRY (node, struct hs_routing_rule, node)
                       : NULL;
@@ -189,7 +215,26 @@
       rule->splits[i].weight = route->splits[i].weight;
       rule->total_weight += route->splits[i].weight;
     }
-  hs_table_insert (routing->rules, &rule->node, address_hash (&rule->address));
+  hs_table_insert (routing->by_address, &rule->node,
+                   address_hash (&rule->address));
+  hs_list_init (&rule->link);
+  hs_list_append (&routing->rules, &rule->link);
+}
+
+/* Does nothing if the rule has the service already, or HS_SPLITS_MAX former
+   ones.  Call it for the latest services first.  */
+static void
+add_former (struct hs_routing_rule *rule, uint64_t service_id, uint64_t until)
+{
+  for (size_t i = 0; i < rule->splits_len; i++)
+    if (rule->splits[i].service_id == service_id)
+      return;
+  for (size_t i = 0; i < rule->former_len; i++)
+    if (rule->former[i].service_id == service_id)
+      return;
+  if (rule->former_len < HS_SPLITS_MAX)
+    rule->former[rule->former_len++]
+        = (struct hs_former_service){ service_id, until };
 }
 
 static uint64_t
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -868,15 +868,14 @@
   talloc_free (entry.root);
 }
 
-/* Returns a routing with the routes of json_configuration and IDLE_MS.  */
+/* Returns a routing of json_configuration with TEXT replaced.  */
 static struct hs_routing *
-make_routing (void *root, const char *idle_ms)
+make_routing (void *root, const char *text, const char *replacement)
 {
-  static const char old[] = "\"idleTimeoutMs\":12000";
-  const char *found = strstr (json_configuration, old);
+  const char *found = strstr (json_configuration, text);
   g_autofree char *json = g_strdup_printf (
-      "%.*s\"idleTimeoutMs\":%s%s", (int)(found - json_configuration),
-      json_configuration, idle_ms, found + strlen (old));
+      "%.*s%s%s", (int)(found - json_configuration), json_configuration,
+      replacement, found + strlen (text));
   struct hs_configuration *configuration = hs_platform_decode_configuration (
       NULL, root, json, strlen (json), NULL);
 
@@ -895,11 +894,11 @@
     const char *idle_ms;
     uint64_t kept_ms;
     uint64_t removed_ms;
-  } cases[] = { { "5000", 5000, 8000 },
-                { "15000", 15000, 18000 },
-                { "45000", 45000, 48000 },
-                { "600000", 60000, 63000 },
-                { "0", 60000, 63000 } };
+  } cases[] = { { ":5000", 5000, 8000 },
+                { ":15000", 15000, 18000 },
+                { ":45000", 45000, 48000 },
+                { ":600000", 60000, 63000 },
+                { ":0", 60000, 63000 } };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
@@ -908,8 +907,9 @@
 
       hs_forwarder_route (entry.forwarder, &syn, 0);
       hs_forwarder_tick (entry.forwarder, 1000);
-      hs_forwarder_set_routing (entry.forwarder,
-                                make_routing (entry.root, cases[i].idle_ms));
+      hs_forwarder_set_routing (
+          entry.forwarder,
+          make_routing (entry.root, ":12000", cases[i].idle_ms));
       hs_forwarder_tick (entry.forwarder, cases[i].kept_ms);
       g_assert_cmpuint (hs_forwarder_flows_len (entry.forwarder), ==, 1);
       hs_forwarder_tick (entry.forwarder, cases[i].removed_ms);
@@ -1057,12 +1057,19 @@
 }
 
 static void
-answer_not_owned (struct entry *entry, const struct hs_segment *segment,
-                  uint64_t agent_id)
+answer_not_owned_at (struct entry *entry, const struct hs_segment *segment,
+                     uint64_t agent_id, uint64_t now)
 {
   struct hs_segment_key key = { segment->from, segment->to };
 
-  hs_forwarder_handle_not_owned (entry->forwarder, &key, agent_id, 0);
+  hs_forwarder_handle_not_owned (entry->forwarder, &key, agent_id, now);
+}
+
+static void
+answer_not_owned (struct entry *entry, const struct hs_segment *segment,
+                  uint64_t agent_id)
+{
+  answer_not_owned_at (entry, segment, agent_id, 0);
 }
 
 static void
@@ -1630,6 +1637,46 @@
   talloc_free (entry.root);
 }
 
+/* Guards against flows that are never reset, or are reset too early, where
+   there are more agents than can be queried: those of the services that the
+   route names and has named are queried.  */
+static void
+test_former_services_queried (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment data = make_segment (HS_SEGMENT_ACK, 9, 101, 501, 50);
+  struct hs_routing *routing = make_routing (entry.root, ":12000", ":15000");
+  struct hs_routing *previous = make_routing (
+      entry.root, "\"service\":\"alpha\"", "\"service\":\"beta\"");
+  char name[HS_NAME_SIZE];
+
+  /* The route named the previous service until 1,000 ms, and the flows opened
+     there have ended at 61,000 ms.  */
+  hs_routing_inherit (routing, previous, 1000, 61000);
+  hs_forwarder_set_routing (entry.forwarder, routing);
+  report_load_of (&entry, BETA, "previous", "a", HS_AGENT_READY, 0, 0);
+  for (int i = 0; i < HS_LOOKUP_AGENTS_MAX; i++)
+    {
+      snprintf (name, sizeof name, "m%d", i);
+      report_load_of (&entry, "other", name, "a", HS_AGENT_READY, 0, 0);
+    }
+  hs_forwarder_route (entry.forwarder, &data, 2000);
+  answer_not_owned_at (&entry, &data, hs_id_from_name ("x"), 2000);
+  answer_not_owned_at (&entry, &data, hs_id_from_name ("y"), 2000);
+  answer_not_owned_at (&entry, &data, hs_id_from_name ("z"), 2000);
+  g_assert_cmpuint (entry.resets->len, ==, 0);
+  answer_not_owned_at (&entry, &data, hs_id_from_name ("previous"), 2000);
+  g_assert_cmpuint (entry.resets->len, ==, 1);
+  data.from.port = 10;
+  hs_forwarder_route (entry.forwarder, &data, 61000);
+  answer_not_owned_at (&entry, &data, hs_id_from_name ("x"), 61000);
+  answer_not_owned_at (&entry, &data, hs_id_from_name ("y"), 61000);
+  g_assert_cmpuint (entry.resets->len, ==, 1);
+  answer_not_owned_at (&entry, &data, hs_id_from_name ("z"), 61000);
+  g_assert_cmpuint (entry.resets->len, ==, 2);
+  talloc_free (entry.root);
+}
+
 /* A lookup doesn't wait for an agent that has no upstream.  */
 static void
 test_agent_without_upstream_not_queried (void)
@@ -2283,6 +2330,7 @@
   g_test_add_func ("/segment/incomplete-pool",
                    test_incomplete_pool_defers_reset);
   g_test_add_func ("/segment/many-agents-queried", test_many_agents_queried);
+  g_test_add_func ("/segment/former-services", test_former_services_queried);
   g_test_add_func ("/segment/no-upstream-not-queried",
                    test_agent_without_upstream_not_queried);
   g_test_add_func ("/segment/silent-not-queried",
