Wait for each listed agent before a flow counts as unowned

Cause: the list of agents counted as complete a fixed time after the entry's start, whether or not each listed agent had reported.

Evidence: the logs of the case have agent-changed for one agent of two before the resets; poller/listed-agent-restarts fails before (complete 3 s after the start with one of four agents silent).

Ruled out: a list without the agent, which control hosts keep for 10 s.

Change: the list is complete once each listed agent has reported or has left queries unanswered for 5.5 s, the time after which a known silent agent is no longer a possible owner. The decision moves from the daemon to the load poller, where it is tested without a network. The fixed times stay for agents that are not listed yet after a restart of the control hosts.

Weighed: no time at all (until the record expires, up to 22 s) makes callers of lost flows wait for agents that are gone for good.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -1240,6 +1240,15 @@
 void hs_load_poller_handle_syn (struct hs_load_poller *poller,
                                 uint64_t service_id, uint64_t now);
 
+/* Returns whether every agent that may own a flow is in the pool: each agent
+   that is listed has reported or has left queries unanswered for
+   HS_POOL_AGENT_EXPIRY_MS, and each one that runs had the time to be listed.
+   UP_MS: time since the entry's start; STARTED_AT: wall clock of its start,
+   ms.  */
+bool hs_load_poller_is_complete (const struct hs_load_poller *poller,
+                                 uint64_t up_ms, uint64_t started_at,
+                                 uint64_t now);
+
 /* Has all agents queried in the next ticks.  */
 void hs_load_poller_query_all (struct hs_load_poller *poller);
 
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -19,17 +19,6 @@
 #define POOL_BATCHES 6 /* To limit memory: a batch takes up to 128 KiB.  */
 #define TAG_SEGMENTS 1 /* Tag of packets from segments_fd.  */
 
-/* Time after a start by which every live agent has reported its load to this
-   entry: both sides have polled each control host once, and the entry has
-   asked the agent.  */
-#define POOL_COMPLETE_MS 2000
-
-/* The same after a restart of all hosts together: all agents then report
-   within 0.7 s in the current deployments.  Starts that are at most
-   RESTART_SKEW_MAX_MS apart count as together.  */
-#define POOL_COMPLETE_RESTARTED_MS 800
-#define RESTART_SKEW_MAX_MS 1000
-
 /* Time after a start before which the entry does not report ready: the first
    agents report their load by then.  */
 #define READY_DELAY_MS 300
@@ -185,8 +174,6 @@
 static void log_agent_load (struct hs_segment_entry *entry, const char *event,
                             const char *caller, const char *address,
                             const struct hs_pool_agent *agent, uint64_t now);
-static bool is_pool_complete (const struct hs_segment_entry *entry,
-                              uint64_t now);
 static json_int_t routing_version (const struct hs_segment_entry *entry);
 static void update_readiness (struct hs_segment_entry *entry, uint64_t now);
 
@@ -686,8 +673,11 @@
   hs_agent_pool_expire (entry->pool, now);
   hs_counter_set (entry->metrics.flows,
                   hs_forwarder_flows_len (entry->forwarder));
-  hs_forwarder_set_pool_complete (entry->forwarder,
-                                  is_pool_complete (entry, now), now);
+  hs_forwarder_set_pool_complete (
+      entry->forwarder,
+      hs_load_poller_is_complete (entry->load_poller, now - entry->up_since,
+                                  entry->started_at, now),
+      now);
   update_readiness (entry, now);
   if (entry->draining_since == 0 || now - entry->draining_since < DRAIN_MIN_MS)
     return;
@@ -937,21 +927,6 @@
       agent->is_same_zone);
 }
 
-/* Returns whether every live agent is assumed to have reported its load.  If
-   all agents that have reported started together with this entry, all hosts
-   have lost power or been killed together.  The shorter time applies then,
-   since callers wait for their flows to be reset.  */
-static bool
-is_pool_complete (const struct hs_segment_entry *entry, uint64_t now)
-{
-  uint64_t up_ms = now - entry->up_since;
-
-  return up_ms >= POOL_COMPLETE_MS
-         || (up_ms >= POOL_COMPLETE_RESTARTED_MS
-             && hs_agent_pool_all_started_since (
-                 entry->pool, entry->started_at - RESTART_SKEW_MAX_MS));
-}
-
 static json_int_t
 routing_version (const struct hs_segment_entry *entry)
 {
--- a/src/segment/load_poller.c
+++ b/src/segment/load_poller.c
@@ -46,6 +46,15 @@
    uplink.  */
 #define RETRIES_PER_TICK 24
 
+/* Time after an entry's start by which every agent that runs is listed: both
+   have sent a heartbeat to each control host.  */
+#define ALL_LISTED_MS 2000
+
+/* The same after a restart of all hosts together.  Starts that are at most
+   RESTART_SKEW_MAX_MS apart count as together.  */
+#define ALL_LISTED_RESTARTED_MS 800
+#define RESTART_SKEW_MAX_MS 1000
+
 struct polled_agent
 {
   struct hs_table_node node; /* By address.  */
@@ -56,8 +65,10 @@
   uint64_t agent_id;
   uint64_t service_id;
   bool is_same_zone;
-  bool is_unanswered;  /* Asked, and has not answered since.  */
-  uint64_t queried_at; /* ms, of the latest query; 0: due now.  */
+  bool is_unanswered;        /* Asked, and has not answered since.  */
+  uint64_t unreported_since; /* ms, of the first query if it has not reported
+                                yet; 0: not queried.  */
+  uint64_t queried_at;       /* ms, of the latest query; 0: due now.  */
   uint64_t retry_ms;
 };
 
@@ -82,6 +93,7 @@
 
 /* Private functions.  */
 
+static bool may_report (const struct polled_agent *agent, uint64_t now);
 static void query (struct hs_load_poller *poller, struct polled_agent *agent,
                    uint64_t now);
 static void poll_service (struct hs_load_poller *poller,
@@ -182,6 +194,24 @@
   poll_service (poller, service, true, SYN_POLL_SAME_ZONE, now);
 }
 
+/* If all agents that have reported started together with this entry, all hosts
+   have lost power or been killed together.  The shorter time applies then,
+   since callers wait for their flows to be reset.  */
+bool
+hs_load_poller_is_complete (const struct hs_load_poller *poller,
+                            uint64_t up_ms, uint64_t started_at, uint64_t now)
+{
+  if (up_ms < ALL_LISTED_MS
+      && (up_ms < ALL_LISTED_RESTARTED_MS
+          || !hs_agent_pool_all_started_since (
+              poller->pool, started_at - RESTART_SKEW_MAX_MS)))
+    return false;
+  HS_LIST_FOREACH (link, &poller->agents)
+    if (may_report (HS_LIST_ENTRY (link, struct polled_agent, link), now))
+      return false;
+  return true;
+}
+
 void
 hs_load_poller_query_all (struct hs_load_poller *poller)
 {
@@ -200,6 +230,16 @@
 
 /* Private definitions.  */
 
+/* Returns whether AGENT has not reported yet and may be about to: it may be
+   one that is being restarted.  */
+static bool
+may_report (const struct polled_agent *agent, uint64_t now)
+{
+  return !agent->is_known
+         && (agent->unreported_since == 0
+             || now - agent->unreported_since <= HS_POOL_AGENT_EXPIRY_MS);
+}
+
 static void
 query (struct hs_load_poller *poller, struct polled_agent *agent, uint64_t now)
 {
@@ -207,6 +247,8 @@
     agent->retry_ms *= 2;
   agent->is_unanswered = true;
   agent->queried_at = now;
+  if (agent->unreported_since == 0)
+    agent->unreported_since = now;
   hs_list_remove (&agent->link);
   hs_list_append (&poller->agents, &agent->link);
   if (agent->is_known)
--- a/tests/test_poller.c
+++ b/tests/test_poller.c
@@ -258,6 +258,35 @@
   talloc_free (sim);
 }
 
+/* Guards against resets of the flows of an agent that is being restarted while
+   the entry starts: the pool is not complete before each listed agent has
+   reported, or has been silent for so long that it counts as gone.  */
+static void
+test_listed_agent_restarts (void)
+{
+  for (int returns = 0; returns <= 1; returns++)
+    {
+      struct simulation *sim = sim_create (4);
+      uint64_t started_at = sim->now;
+
+      sim->agents[2].is_down = true;
+      run (sim, started_at + 3000, 0);
+      g_assert_false (
+          hs_load_poller_is_complete (sim->poller, 800, 0, sim->now));
+      g_assert_false (
+          hs_load_poller_is_complete (sim->poller, 3000, 0, sim->now));
+      sim->agents[2].is_down = returns == 0;
+      run (sim, started_at + 5000, 0);
+      g_assert_cmpint (
+          hs_load_poller_is_complete (sim->poller, 5000, 0, sim->now), ==,
+          returns == 1);
+      run (sim, started_at + HS_POOL_AGENT_EXPIRY_MS + 200, 0);
+      g_assert_true (hs_load_poller_is_complete (
+          sim->poller, HS_POOL_AGENT_EXPIRY_MS + 200, 0, sim->now));
+      talloc_free (sim);
+    }
+}
+
 /* Guards against agents that learn of a changed idle timeout seconds later:
    all are queried within a second, a few in each tick.  */
 static void
@@ -284,6 +313,8 @@
   g_test_add_func ("/poller/start", test_agents_known_after_start);
   g_test_add_func ("/poller/stopped", test_stopped_agents);
   g_test_add_func ("/poller/list", test_list_changes);
+  g_test_add_func ("/poller/listed-agent-restarts",
+                   test_listed_agent_restarts);
   g_test_add_func ("/poller/all-queried", test_all_queried);
   return g_test_run ();
 }
