Keep an agent that has reported from another address in the pool

Cause: the load poller removed the agent by its id, which is that of its name.

Test: poller/replaced-at-other-address, which fails before.

Change: the expiry of an address removes an agent only if its latest report came from there.

--- a/src/segment/load_poller.c
+++ b/src/segment/load_poller.c
@@ -107,6 +107,8 @@
 static bool match_address (const struct hs_table_node *node, const void *key);
 static struct polled_agent *add_agent (struct hs_load_poller *poller,
                                        const struct hs_addr *address);
+static void remove_from_pool (struct hs_load_poller *poller,
+                              const struct polled_agent *agent);
 static void remove_agent (struct hs_load_poller *poller,
                           struct polled_agent *agent);
 static struct polled_service *
@@ -171,7 +173,7 @@
   if (agent == NULL)
     return false;
   if (agent->is_known && agent->agent_id != report->agent_id)
-    hs_agent_pool_remove (poller->pool, agent->agent_id);
+    remove_from_pool (poller, agent);
   agent->is_known = true;
   agent->agent_id = report->agent_id;
   agent->service_id = report->service_id;
@@ -368,11 +370,25 @@
   return agent;
 }
 
+/* Removes AGENT from the pool, unless it has reported from another address
+   since.  */
+static void
+remove_from_pool (struct hs_load_poller *poller,
+                  const struct polled_agent *agent)
+{
+  const struct hs_pool_agent *pooled
+      = hs_agent_pool_find (poller->pool, agent->agent_id);
+
+  if (pooled != NULL
+      && hs_addr_equal (&pooled->report.address, &agent->address))
+    hs_agent_pool_remove (poller->pool, agent->agent_id);
+}
+
 static void
 remove_agent (struct hs_load_poller *poller, struct polled_agent *agent)
 {
   if (agent->is_known)
-    hs_agent_pool_remove (poller->pool, agent->agent_id);
+    remove_from_pool (poller, agent);
   hs_table_remove (poller->by_address, &agent->node);
   hs_list_remove (&agent->link);
   talloc_free (agent);
--- a/tests/test_poller.c
+++ b/tests/test_poller.c
@@ -287,6 +287,33 @@
     }
 }
 
+/* Guards against the loss of an agent whose host was replaced by one of the
+   same name: the expiry of the former address leaves it in the pool.  */
+static void
+test_replaced_at_other_address (void)
+{
+  struct simulation *sim = sim_create (10);
+  struct hs_load_report report = { .agent_id = 10,
+                                   .incarnation = 2,
+                                   .seq = 1,
+                                   .service_id = SERVICE,
+                                   .zone = "z1" };
+
+  hs_load_poller_set_agents (sim->poller, sim->addresses, 9);
+  run (sim, 3000, 0);
+  /* Agent 10 comes back at the address of agent 1, and the reports of its
+     first process are late.  */
+  hs_load_poller_set_agents (sim->poller, sim->addresses, 10);
+  run (sim, 4000, 0);
+  report.address = sim->addresses[0];
+  g_assert_true (hs_load_poller_handle_report (sim->poller, &report));
+  g_assert_true (hs_agent_pool_update (sim->pool, &report, sim->now));
+  hs_load_poller_set_agents (sim->poller, sim->addresses, 9);
+  g_assert_nonnull (hs_agent_pool_find (sim->pool, 10));
+  g_assert_null (hs_agent_pool_find (sim->pool, 1));
+  talloc_free (sim);
+}
+
 /* Guards against agents that learn of a changed idle timeout seconds later:
    all are queried within a second, a few in each tick.  */
 static void
@@ -315,6 +342,8 @@
   g_test_add_func ("/poller/list", test_list_changes);
   g_test_add_func ("/poller/listed-agent-restarts",
                    test_listed_agent_restarts);
+  g_test_add_func ("/poller/replaced-at-other-address",
+                   test_replaced_at_other_address);
   g_test_add_func ("/poller/all-queried", test_all_queried);
   return g_test_run ();
 }
