Count an agent that has not heard its upstream yet as a possible owner

Cause: an agent that is silent for 0.7 s and whose last report named a silent upstream counts as stopped together with it. The report of an agent that has just started says the same until the upstream's first heartbeat.

Test: segment/silent-before-first-heartbeat, which fails before (a reset after the answers of the three other agents).

Change: the short time applies only if the agent had heard its upstream, which the number of slots in its report shows.

--- a/src/segment/agent_pool.c
+++ b/src/segment/agent_pool.c
@@ -37,6 +37,7 @@
 /* Private functions.  */
 
 static bool may_own_flows (const struct hs_pool_agent *agent, uint64_t now);
+static bool has_heard_upstream (const struct hs_pool_agent *agent);
 static bool is_silent (const struct hs_pool_agent *agent, uint64_t timeout_ms,
                        uint64_t now);
 static void remove_agent (struct hs_agent_pool *pool,
@@ -242,16 +243,26 @@
 
 /* Private definitions.  */
 
-/* An agent that is silent and whose upstream was silent before has most likely
-   been stopped together with its upstream, and owns no flows any more.  */
+/* An agent that is silent and whose upstream fell silent before has most
+   likely been stopped together with its upstream, and owns no flows any more.
+   One that has not heard its upstream yet has just started, and may be
+   restarted.  */
 static bool
 may_own_flows (const struct hs_pool_agent *agent, uint64_t now)
 {
   return !agent->report.no_upstream
          && !(is_silent (agent, HS_REPORT_TIMEOUT_MS, now)
+              && has_heard_upstream (agent)
               && agent->report.state == HS_AGENT_UPSTREAM_SILENT);
 }
 
+/* The number of slots is known from the upstream's first heartbeat on.  */
+static bool
+has_heard_upstream (const struct hs_pool_agent *agent)
+{
+  return agent->report.slots != 0;
+}
+
 static bool
 is_silent (const struct hs_pool_agent *agent, uint64_t timeout_ms,
            uint64_t now)
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -1721,6 +1721,32 @@
   talloc_free (entry.root);
 }
 
+/* Guards against resets of the flows of an agent that is restarted again
+   before its upstream's first heartbeat: that upstream is not known to be
+   gone.  */
+static void
+test_silent_before_first_heartbeat (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment data = make_segment (HS_SEGMENT_ACK, 9, 101, 501, 50);
+  struct hs_load_report load = { .agent_id = hs_id_from_name ("w"),
+                                 .incarnation = 1,
+                                 .seq = 1,
+                                 .service_id = hs_id_from_name (ALPHA),
+                                 .state = HS_AGENT_UPSTREAM_SILENT };
+
+  hs_agent_pool_update (entry.pool, &load, 1);
+  hs_agent_pool_mark_queried (entry.pool, load.agent_id, 2);
+  hs_forwarder_route (entry.forwarder, &data, 1000);
+  answer_not_owned_at (&entry, &data, hs_id_from_name ("x"), 1000);
+  answer_not_owned_at (&entry, &data, hs_id_from_name ("y"), 1000);
+  answer_not_owned_at (&entry, &data, hs_id_from_name ("z"), 1000);
+  g_assert_cmpuint (entry.resets->len, ==, 0);
+  answer_not_owned_at (&entry, &data, load.agent_id, 1500);
+  g_assert_cmpuint (entry.resets->len, ==, 1);
+  talloc_free (entry.root);
+}
+
 /* As long as agents may be missing in the pool, an entry resets no flow, since
    a missing agent may own it.  */
 static void
@@ -2335,6 +2361,8 @@
                    test_agent_without_upstream_not_queried);
   g_test_add_func ("/segment/silent-not-queried",
                    test_silent_agent_not_queried);
+  g_test_add_func ("/segment/silent-before-first-heartbeat",
+                   test_silent_before_first_heartbeat);
   g_test_add_func ("/segment/no-route", test_no_route);
   g_test_add_func ("/segment/draining", test_draining_refuses_new_flows);
   g_test_add_func ("/segment/foreign-heartbeat",
