Make draining final for the readiness of a process

Cause: the main thread sets the health answer to "draining" and hands the drain to the decision thread; a tick of that thread in between sets it to ready again.

With one shared reason, as before, the later step wins.

Change: draining is a flag of the health answer that goes before the reason and is never reset. Control hosts set it, too.

--- a/src/control/group.c
+++ b/src/control/group.c
@@ -145,6 +145,7 @@
   struct group_command *command = talloc_zero (NULL, struct group_command);
 
   command->drain = true;
+  hs_group_api_set_draining (group->api);
   if (hs_ring_push (group->commands, command))
     hs_ring_wait (group->drained);
   else
--- a/src/control/group_api.c
+++ b/src/control/group_api.c
@@ -95,6 +95,12 @@
   hs_admin_set_unhealthy (api->admin, reason);
 }
 
+void
+hs_group_api_set_draining (struct hs_group_api *api)
+{
+  hs_admin_set_draining (api->admin);
+}
+
 void
 hs_group_call_answer (struct hs_group_call *call, unsigned int status,
                       enum hs_outcome outcome, const char *message)
--- a/src/control/group_api.h
+++ b/src/control/group_api.h
@@ -53,6 +53,9 @@
    is healthy.  */
 void hs_group_api_set_unhealthy (struct hs_group_api *api, const char *reason);
 
+/* As hs_admin_set_draining.  */
+void hs_group_api_set_draining (struct hs_group_api *api);
+
 /* Answers CALL with STATUS and a JSON body of MESSAGE and of OUTCOME, which
    says whether the change ran.  */
 void hs_group_call_answer (struct hs_group_call *call, unsigned int status,
--- a/src/daemon/admin.c
+++ b/src/daemon/admin.c
@@ -17,6 +17,7 @@
   struct hs_http *http; /* NULL: the daemon has a server of its own.  */
   struct hs_metrics *metric_set;
   const char *_Atomic unhealthy_reason; /* NULL: healthy.  */
+  _Atomic bool is_draining;             /* Once true, it stays so.  */
 };
 
 /* Private functions.  */
@@ -62,10 +63,20 @@
   atomic_store (&admin->unhealthy_reason, reason);
 }
 
+void
+hs_admin_set_draining (struct hs_admin *admin)
+{
+  atomic_store (&admin->is_draining, true);
+}
+
+/* A thread that still reports readiness cannot end a drain that another thread
+   has begun.  */
 const char *
 hs_admin_unhealthy_reason (struct hs_admin *admin)
 {
-  return atomic_load (&admin->unhealthy_reason);
+  return atomic_load (&admin->is_draining)
+             ? "draining\n"
+             : atomic_load (&admin->unhealthy_reason);
 }
 
 bool
@@ -82,7 +93,7 @@
     }
   if (strcmp (path, "/healthz") == 0)
     {
-      const char *reason = atomic_load (&admin->unhealthy_reason);
+      const char *reason = hs_admin_unhealthy_reason (admin);
 
       hs_http_respond (request,
                        reason == NULL ? STATUS_OK : STATUS_UNAVAILABLE,
--- a/src/daemon/admin.h
+++ b/src/daemon/admin.h
@@ -25,6 +25,10 @@
    may call it.  */
 void hs_admin_set_unhealthy (struct hs_admin *admin, const char *reason);
 
+/* Makes /healthz answer 503 for good: from now on hs_admin_set_unhealthy has
+   no effect.  Any thread may call it.  */
+void hs_admin_set_draining (struct hs_admin *admin);
+
 /* Returns the current reason, or NULL if healthy.  Any thread may call it.  */
 const char *hs_admin_unhealthy_reason (struct hs_admin *admin);
 
--- a/src/daemon/datapath.c
+++ b/src/daemon/datapath.c
@@ -73,7 +73,7 @@
 void
 hs_datapath_run_command (struct hs_datapath *datapath, hs_worker_fn *command)
 {
-  hs_admin_set_unhealthy (datapath->admin, "draining\n");
+  hs_admin_set_draining (datapath->admin);
   hs_ring_push (datapath->commands, (void *)command);
   hs_ring_wait (datapath->completed);
 }
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -7,6 +7,7 @@
 #include "base/metrics.h"
 #include "base/ring.h"
 #include "base/settings.h"
+#include "daemon/admin.h"
 
 #include <fcntl.h>
 #include <glib/gstdio.h>
@@ -206,6 +207,31 @@
   g_assert_true (hs_ring_pop (ring) == &items[2]);
 }
 
+/* Guards against a host that counts as ready although it drains: whatever the
+   order in which two threads set its readiness, draining is final.  */
+static void
+test_draining_is_final (void)
+{
+  HS_AUTO_TALLOC void *root = talloc_new (NULL);
+
+  for (int drain_first = 0; drain_first <= 1; drain_first++)
+    {
+      struct hs_admin *admin
+          = hs_admin_create_without_server (hs_metrics_create (root, "test"));
+
+      g_assert_cmpstr (hs_admin_unhealthy_reason (admin), ==, "starting\n");
+      if (drain_first)
+        hs_admin_set_draining (admin);
+      hs_admin_set_unhealthy (admin, NULL);
+      g_assert_cmpstr (hs_admin_unhealthy_reason (admin), ==,
+                       drain_first ? "draining\n" : NULL);
+      if (!drain_first)
+        hs_admin_set_draining (admin);
+      g_assert_cmpstr (hs_admin_unhealthy_reason (admin), ==, "draining\n");
+      hs_admin_destroy (admin);
+    }
+}
+
 static void *
 push_items (void *ctx)
 {
@@ -529,6 +555,7 @@
   g_test_add_func ("/base/timers", test_timers);
   g_test_add_func ("/base/timers-sleep", test_timers_sleep);
   g_test_add_func ("/base/ring-full", test_ring_full);
+  g_test_add_func ("/base/draining-is-final", test_draining_is_final);
   g_test_add_func ("/base/ring-threads", test_ring_threads);
   g_test_add_func ("/base/addr", test_addr);
   g_test_add_func ("/base/settings", test_settings);
