Keep the latest of queued commands and seeds

What an operator would see: many reloads (SIGHUP) reach a process whose decision thread does not run for a while; the newest seeds are dropped, and a control host that is stopped then ends without handing over its leadership.

Cause: a full ring refuses the new item, and both callers let it go.

Test: base/ring-displaces.

Change: these rings drop their oldest item for the new one. All commands but the drain are replaced seeds, of which only the latest count; the drain is the last command of a process.

--- a/src/base/ring.c
+++ b/src/base/ring.c
@@ -30,6 +30,8 @@
 static int destructor (struct hs_ring *ring);
 static bool enqueue (struct hs_ring *ring, void *item);
 static size_t dequeue (struct hs_ring *ring, void **items, size_t max);
+static void *remove_oldest (struct hs_ring *ring);
+static bool must_wake (struct hs_ring *ring);
 
 /* Public definitions.  */
 
@@ -62,15 +64,30 @@
 
   pthread_mutex_lock (&ring->lock);
   added = enqueue (ring, item);
-  wake = added && ring->consumer_idle && ring->len >= ring->wake_threshold;
-  if (wake)
-    ring->consumer_idle = false;
+  wake = added && must_wake (ring);
   pthread_mutex_unlock (&ring->lock);
   if (wake)
     eventfd_write (ring->event_fd, 1);
   return added;
 }
 
+void *
+hs_ring_push_displacing (struct hs_ring *ring, void *item)
+{
+  void *displaced = NULL;
+  bool wake;
+
+  pthread_mutex_lock (&ring->lock);
+  if (ring->len == ring->capacity)
+    displaced = remove_oldest (ring);
+  enqueue (ring, item);
+  wake = must_wake (ring);
+  pthread_mutex_unlock (&ring->lock);
+  if (wake)
+    eventfd_write (ring->event_fd, 1);
+  return displaced;
+}
+
 void *
 hs_ring_pop (struct hs_ring *ring)
 {
@@ -175,12 +192,30 @@
   size_t len = ring->len < max ? ring->len : max;
 
   for (size_t i = 0; i < len; i++)
-    {
-      items[i] = ring->items[ring->head];
-      ring->head = (ring->head + 1) % ring->capacity;
-    }
-  ring->len -= len;
+    items[i] = remove_oldest (ring);
   if (len < max)
     ring->consumer_idle = true;
   return len;
 }
+
+/* Called with the lock held, and only if RING is not empty.  */
+static void *
+remove_oldest (struct hs_ring *ring)
+{
+  void *item = ring->items[ring->head];
+
+  ring->head = (ring->head + 1) % ring->capacity;
+  ring->len--;
+  return item;
+}
+
+/* Returns whether the consumer waits and must be woken, which the caller then
+   has to do.  Called with the lock held.  */
+static bool
+must_wake (struct hs_ring *ring)
+{
+  if (!ring->consumer_idle || ring->len < ring->wake_threshold)
+    return false;
+  ring->consumer_idle = false;
+  return true;
+}
--- a/src/base/ring.h
+++ b/src/base/ring.h
@@ -24,6 +24,11 @@
    calling thread then still owns ITEM.  */
 bool hs_ring_push (struct hs_ring *ring, void *item);
 
+/* Appends ITEM, which must not be NULL.  If RING is full, the oldest item is
+   removed and returned to the calling thread, which then owns it; otherwise
+   returns NULL.  For items of which the latest counts.  */
+void *hs_ring_push_displacing (struct hs_ring *ring, void *item);
+
 /* Removes and returns the oldest item, or returns NULL if RING is empty.  */
 void *hs_ring_pop (struct hs_ring *ring);
 
--- a/src/control/group.c
+++ b/src/control/group.c
@@ -135,8 +135,7 @@
   struct group_command *command = talloc_zero (NULL, struct group_command);
 
   command->seeds = *seeds;
-  if (!hs_ring_push (group->commands, command))
-    talloc_free (command);
+  talloc_free (hs_ring_push_displacing (group->commands, command));
 }
 
 void
@@ -146,10 +145,8 @@
 
   command->drain = true;
   hs_group_api_set_draining (group->api);
-  if (hs_ring_push (group->commands, command))
-    hs_ring_wait (group->drained);
-  else
-    talloc_free (command);
+  talloc_free (hs_ring_push_displacing (group->commands, command));
+  hs_ring_wait (group->drained);
 }
 
 /* Private definitions.  */
--- a/src/daemon/segment_node.c
+++ b/src/daemon/segment_node.c
@@ -113,8 +113,7 @@
 {
   struct hs_addrs *copy = talloc_memdup (NULL, seeds, sizeof *seeds);
 
-  if (!hs_ring_push (node->seeds, copy))
-    talloc_free (copy);
+  talloc_free (hs_ring_push_displacing (node->seeds, copy));
 }
 
 void
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -207,6 +207,25 @@
   g_assert_true (hs_ring_pop (ring) == &items[2]);
 }
 
+/* Guards against the loss of a stop or of new seeds if many reloads are
+   queued: the latest items are kept.  */
+static void
+test_ring_displaces (void)
+{
+  HS_AUTO_TALLOC void *root = talloc_new (NULL);
+  struct hs_ring *ring = hs_ring_create (root, 2);
+  int items[3];
+
+  g_assert_null (hs_ring_pop (ring));
+  g_assert_null (hs_ring_push_displacing (ring, &items[0]));
+  g_assert_null (hs_ring_push_displacing (ring, &items[1]));
+  g_assert_true (hs_ring_push_displacing (ring, &items[2]) == &items[0]);
+  hs_ring_wait (ring);
+  g_assert_true (hs_ring_pop (ring) == &items[1]);
+  g_assert_true (hs_ring_pop (ring) == &items[2]);
+  g_assert_null (hs_ring_pop (ring));
+}
+
 /* Guards against a host that counts as ready although it drains: whatever the
    order in which two threads set its readiness, draining is final.  */
 static void
@@ -555,6 +574,7 @@
   g_test_add_func ("/base/timers", test_timers);
   g_test_add_func ("/base/timers-sleep", test_timers_sleep);
   g_test_add_func ("/base/ring-full", test_ring_full);
+  g_test_add_func ("/base/ring-displaces", test_ring_displaces);
   g_test_add_func ("/base/draining-is-final", test_draining_is_final);
   g_test_add_func ("/base/ring-threads", test_ring_threads);
   g_test_add_func ("/base/addr", test_addr);
