Open a flow only for the acknowledgement of the upstream's own SYN+ACK

Cause: two upstreams may answer copies of one SYN. An agent told the handshakes apart by the distance of their random sequence numbers, 2^24 or more; one time in 256 they are closer, and the agent took the flow for its own, its upstream returned the packet, and the agent reset the caller. A flow whose SYN was not answered yet counted as owned, whatever was acknowledged.

Evidence: segment/handshakes-of-any-distance tries 53 distances both ways, and fails before: a flow with an unanswered SYN is claimed, and, without that check, one with an answered SYN whose numbers are close.

Change: until the caller has completed the handshake, the upstream has sent nothing but its SYN+ACK, so only the acknowledgement of just that opens the flow; anything else is answered with "not owned". For open flows the window stays, against segments of an earlier flow.

Two tests (full-queue, retransmitted-request) sent data without the upstream's SYN+ACK; they now have it, their checks are as before.

--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -360,7 +360,7 @@
 
   if (flow == NULL)
     return is_recovering ? HS_LOOKUP_UNKNOWN : HS_LOOKUP_NOT_OWNED;
-  if (acks_other_handshake (flow, segment))
+  if (flow->state != FLOW_SYN_SENT && acks_other_handshake (flow, segment))
     return HS_LOOKUP_NOT_OWNED;
   switch (flow->state)
     {
@@ -843,12 +843,28 @@
 
 /* Returns whether SEGMENT of the caller acknowledges the handshake of another
    upstream.  Two upstreams may answer copies of one SYN, and the caller
-   completes one handshake only.  */
+   completes one handshake only.  Until it has completed that of this upstream,
+   which then has sent nothing but its SYN+ACK, it can acknowledge nothing else
+   of it.  */
 static bool
 acks_other_handshake (const struct flow *flow,
                       const struct hs_segment *segment)
 {
-  return flow->has_upstream_isn && (segment->flags & HS_SEGMENT_ACK) != 0
+  if ((segment->flags & HS_SEGMENT_ACK) == 0)
+    return false;
+  switch (flow->state)
+    {
+    case FLOW_SYN_SENT:
+      return true;
+    case FLOW_SYN_ANSWERED:
+      return segment->ack != flow->upstream_isn + 1;
+    case FLOW_OPEN:
+    case FLOW_PRESUMED_CLOSED:
+    case FLOW_PROBING:
+    case FLOW_NOT_OWNED:
+      break;
+    }
+  return flow->has_upstream_isn
          && segment->ack - flow->upstream_isn >= SEQUENCE_WINDOW;
 }
 
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -348,6 +348,17 @@
          == HS_SIDECAR_TO_UPSTREAM;
 }
 
+/* The upstream answers the SYN of accepts_syn.  */
+static void
+answer_syn (struct hs_sidecar *sidecar, uint16_t port, uint64_t now)
+{
+  struct hs_segment syn = make_segment (HS_SEGMENT_SYN, port, 100, 0, 0);
+  struct hs_segment syn_ack
+      = make_reply (&syn, HS_SEGMENT_SYN | HS_SEGMENT_ACK, 500, 0);
+
+  hs_sidecar_handle_upstream_segment (sidecar, &syn_ack, now);
+}
+
 /* An upstream that answers a request at once, though all of its slots are
    busy, has rejected it: its agent accepts no more requests than it took, and
    tries one more later.  The quick answer is not taken for the time of its
@@ -368,6 +379,7 @@
 
       accepted = accepts_syn (sidecar, port, 10);
       g_assert_true (accepted);
+      answer_syn (sidecar, port, 10);
       send_from_entry (sidecar, &data, false, 10);
     }
   g_assert_cmpuint (get_load (sidecar).requests_in_progress, ==, 12);
@@ -400,6 +412,7 @@
   send_heartbeat (sidecar, HS_UPSTREAM_READY, 1, 1, 0);
   accepted = accepts_syn (sidecar, 1, 10);
   g_assert_true (accepted);
+  answer_syn (sidecar, 1, 10);
   send_from_entry (sidecar, &data, false, 10);
   g_assert_cmpuint (get_load (sidecar).requests_in_progress, ==, 1);
   hs_sidecar_handle_upstream_segment (sidecar, &response, 50);
@@ -2136,6 +2149,46 @@
   talloc_free (root);
 }
 
+/* Guards against flows that are opened, and then reset, at an upstream that
+   answered a copy of their SYN: however close the sequence numbers of the two
+   handshakes are, only the acknowledgement of its own opens a flow.  */
+static void
+test_handshakes_of_any_distance (void)
+{
+  for (uint64_t distance = 1; distance < UINT32_MAX;
+       distance = distance * 3 / 2 + 1)
+    for (int sign = -1; sign <= 1; sign += 2)
+      {
+        void *root = talloc_new (NULL);
+        struct resets resets = { 0 };
+        struct hs_sidecar *sidecar = create_sidecar (root, &resets, 1000);
+        struct hs_segment syn = make_segment (HS_SEGMENT_SYN, 9, 100, 0, 0);
+        struct hs_segment syn_ack
+            = make_reply (&syn, HS_SEGMENT_SYN | HS_SEGMENT_ACK, 500, 0);
+        struct hs_segment own = make_segment (HS_SEGMENT_ACK, 9, 101, 501, 50);
+        struct hs_segment other = own;
+
+        other.ack += sign < 0 ? -(uint32_t)distance : (uint32_t)distance;
+        send_heartbeat (sidecar, HS_UPSTREAM_READY, 2000, 1, 0);
+        send_from_entry (sidecar, &syn, false, 0);
+        g_assert_cmpint (
+            send_from_entry (sidecar, &other, true, 1).lookup_answer, ==,
+            HS_LOOKUP_NOT_OWNED);
+        hs_sidecar_handle_upstream_segment (sidecar, &syn_ack, 1);
+        g_assert_cmpint (hs_sidecar_lookup (sidecar, &other, 2), ==,
+                         HS_LOOKUP_NOT_OWNED);
+        g_assert_cmpint (
+            send_from_entry (sidecar, &other, false, 2).lookup_answer, ==,
+            HS_LOOKUP_NOT_OWNED);
+        g_assert_cmpuint (get_load (sidecar).open_flows, ==, 0);
+        g_assert_cmpint (
+            send_from_entry (sidecar, &own, true, 3).lookup_answer, ==,
+            HS_LOOKUP_OWNED);
+        g_assert_cmpuint (get_load (sidecar).open_flows, ==, 1);
+        talloc_free (root);
+      }
+}
+
 /* A paused entry forwards a SYN late, after the caller has completed the
    handshake of another upstream.  A SYN+ACK of this upstream must not open the
    flow here, or the flow's segments would be reset.  */
@@ -2384,6 +2437,8 @@
   g_test_add_func ("/segment/no-upstream-after-resets",
                    test_no_upstream_after_resets);
   g_test_add_func ("/segment/other-handshake", test_other_handshake_not_owned);
+  g_test_add_func ("/segment/handshakes-of-any-distance",
+                   test_handshakes_of_any_distance);
   g_test_add_func ("/segment/answered-syn-not-open",
                    test_answered_syn_is_not_open_flow);
   g_test_add_func ("/segment/segments-after-close", test_segments_after_close);
