Place copies of a SYN and refused SYNs by the routing in force

Cause: the service was picked at the first SYN and kept for its copies, and for a SYN that an agent refuses.

Evidence: segment/syn-copies-follow-route and refused-syn-follows-route fail before: both SYNs go to the old service.

Change: if the route no longer leads to the service, another is picked, and no agent of the old service gets the SYN again. An agent that has the first copy may still own the flow: segments go to all agents that got the SYN, and only its owner takes them, as with copies before. A copy after the flow has been opened is dropped.

--- a/src/segment/forwarder.c
+++ b/src/segment/forwarder.c
@@ -37,6 +37,14 @@
 route_syn_retransmission (struct hs_forwarder *forwarder,
                           struct hs_forwarder_flow *flow,
                           const struct hs_segment *segment, uint64_t now);
+static uint64_t pick_service (const struct hs_routing_rule *rule,
+                              const struct hs_forwarder_flow *flow,
+                              uint32_t seq);
+static void follow_route (struct hs_forwarder_flow *flow,
+                          const struct hs_routing_rule *rule);
+static const struct hs_pool_agent *
+find_last_syn_agent (const struct hs_forwarder *forwarder,
+                     const struct hs_forwarder_flow *flow, uint64_t now);
 static struct hs_forward_decision place_flow (struct hs_forwarder *forwarder,
                                               struct hs_forwarder_flow *flow,
                                               uint64_t now);
@@ -153,13 +161,14 @@
   struct hs_forwarder_flow *flow
       = hs_segment_flow_table_find (forwarder->flows, &key);
   struct hs_forward_decision decision;
+  const struct hs_routing_rule *rule;
 
   if (reason == HS_REASON_DRAINING)
     hs_agent_pool_set_state (forwarder->pool, agent_id, HS_AGENT_DRAINING);
   if (reason == HS_REASON_NO_UPSTREAM)
     hs_agent_pool_set_state (forwarder->pool, agent_id,
                              HS_AGENT_UPSTREAM_SILENT);
-  if (flow == NULL || flow->syn_seq != syn->seq)
+  if (flow == NULL || flow->syn_seq != syn->seq || forwarder->routing == NULL)
     return hs_forward_decision_without_agents (HS_FORWARD_DROP, reason);
   if (flow->owner_id == agent_id)
     flow->owner_id = 0;
@@ -169,6 +178,11 @@
   /* Another agent has the SYN as well, and may accept it.  */
   if (flow->syn_agent_ids_len > 0)
     return hs_forward_decision_without_agents (HS_FORWARD_DROP, reason);
+  rule = hs_routing_find (forwarder->routing, &syn->to);
+  if (rule == NULL)
+    return hs_forward_decision_without_agents (HS_FORWARD_RESET,
+                                               HS_REASON_NO_SERVICE);
+  follow_route (flow, rule);
   decision = place_flow (forwarder, flow, now);
   /* The agents that are left could not take another flow either.  */
   if (decision.action == HS_FORWARD_DROP
@@ -250,12 +264,11 @@
       && flow->syn_agent_ids_len > 0)
     {
       hs_segment_flow_table_touch (forwarder->flows, &flow->base, now);
+      follow_route (flow, rule);
       return route_syn_retransmission (forwarder, flow, segment, now);
     }
   flow = hs_forwarder_find_or_add_flow (forwarder, &key, now);
-  /* Each entry with the same routes picks the same service for this SYN.  */
-  flow->service_id = hs_routing_pick_service (
-      rule, hs_rendezvous_score (flow->base.node.hash, segment->seq));
+  flow->service_id = pick_service (rule, flow, segment->seq);
   flow->request_class = rule->request_class;
   flow->slo_ms = rule->slo_ms;
   flow->priority = rule->priority;
@@ -272,22 +285,63 @@
   return place_flow (forwarder, flow, now);
 }
 
-/* A caller numbers the retransmissions of a SYN in the ACK field.  */
+/* Each entry with the same routes picks the same service for a SYN.  */
+static uint64_t
+pick_service (const struct hs_routing_rule *rule,
+              const struct hs_forwarder_flow *flow, uint32_t seq)
+{
+  return hs_routing_pick_service (
+      rule, hs_rendezvous_score (flow->base.node.hash, seq));
+}
+
+/* Picks another service for the flow, whose SYN has been placed, if its route
+   no longer leads to that one.  */
+static void
+follow_route (struct hs_forwarder_flow *flow,
+              const struct hs_routing_rule *rule)
+{
+  for (size_t i = 0; i < rule->splits_len; i++)
+    if (rule->splits[i].service_id == flow->service_id
+        && rule->splits[i].weight > 0)
+      return;
+  flow->service_id = pick_service (rule, flow, flow->syn_seq);
+}
+
+/* A caller numbers the retransmissions of a SYN in the ACK field.  One that
+   comes after the flow has been opened is late.  */
 static struct hs_forward_decision
 route_syn_retransmission (struct hs_forwarder *forwarder,
                           struct hs_forwarder_flow *flow,
                           const struct hs_segment *segment, uint64_t now)
 {
-  uint64_t last_agent_id = flow->syn_agent_ids[flow->syn_agent_ids_len - 1];
   const struct hs_pool_agent *agent
-      = hs_agent_pool_find (forwarder->pool, last_agent_id);
+      = find_last_syn_agent (forwarder, flow, now);
 
-  if (agent != NULL && hs_pool_agent_accepts_flows (agent, now)
-      && segment->ack < SYN_RETRANSMISSION_OTHER_AGENT)
+  if (flow->owner_id != 0)
+    return hs_forward_decision_without_agents (HS_FORWARD_DROP,
+                                               HS_REASON_NONE);
+  if (agent != NULL && segment->ack < SYN_RETRANSMISSION_OTHER_AGENT)
     return forward_syn (flow, agent, false);
   return place_flow (forwarder, flow, now);
 }
 
+/* Returns the agent that the SYN was sent to last, or NULL if it accepts no
+   flows of the flow's service.  */
+static const struct hs_pool_agent *
+find_last_syn_agent (const struct hs_forwarder *forwarder,
+                     const struct hs_forwarder_flow *flow, uint64_t now)
+{
+  const struct hs_pool_agent *agent
+      = flow->syn_agent_ids_len > 0 ? hs_agent_pool_find (
+            forwarder->pool, flow->syn_agent_ids[flow->syn_agent_ids_len - 1])
+                                    : NULL;
+
+  return agent != NULL && hs_pool_agent_accepts_flows (agent, now)
+                 && agent->report.service_id == flow->service_id
+             ? agent
+             : NULL;
+}
+
 /* Sends the SYN to one more agent or, if no other agent accepts flows, to the
    latest one again.  If that one does not either, the SYN is dropped: the
    caller's next retransmission may find an agent.  The first SYN of a flow is
@@ -320,10 +374,8 @@
       flow->syn_agent_ids[flow->syn_agent_ids_len++] = agent->report.agent_id;
       return forward_syn (flow, agent, true);
     }
-  if (flow->syn_agent_ids_len > 0)
-    agent = hs_agent_pool_find (
-        forwarder->pool, flow->syn_agent_ids[flow->syn_agent_ids_len - 1]);
-  if (agent != NULL && hs_pool_agent_accepts_flows (agent, now))
+  agent = find_last_syn_agent (forwarder, flow, now);
+  if (agent != NULL)
     return forward_syn (flow, agent, false);
   return hs_forward_decision_without_agents (HS_FORWARD_DROP,
                                              HS_REASON_NO_UPSTREAM);
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -993,6 +993,69 @@
   talloc_free (entry.root);
 }
 
+/* Guards against copies of a SYN that still go to the service that the route
+   named before: they are placed by the routing in force.  */
+static void
+test_syn_copies_follow_route (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment syn = make_segment (HS_SEGMENT_SYN, 9, 100, 0, 0);
+  struct hs_segment data = make_segment (HS_SEGMENT_ACK, 9, 101, 501, 50);
+  struct hs_forward_decision decision
+      = hs_forwarder_route (entry.forwarder, &syn, 0);
+  uint64_t first = only_agent_of (&decision);
+  uint64_t new_agent = hs_id_from_name ("new");
+
+  hs_forwarder_set_routing (entry.forwarder,
+                            make_routing (entry.root, "\"service\":\"alpha\"",
+                                          "\"service\":\"beta\""));
+  /* There is no agent of the new service yet.  */
+  for (syn.ack = 1; syn.ack <= 2; syn.ack++)
+    {
+      decision = hs_forwarder_route (entry.forwarder, &syn, 200);
+      g_assert_cmpint (decision.action, ==, HS_FORWARD_DROP);
+    }
+  report_load_of (&entry, BETA, "new", "a", HS_AGENT_READY, 0, 300);
+  for (syn.ack = 1; syn.ack <= 2; syn.ack++)
+    {
+      decision = hs_forwarder_route (entry.forwarder, &syn, 300);
+      g_assert_cmpuint (only_agent_of (&decision), ==, new_agent);
+    }
+  /* The flow may open at either agent.  */
+  decision = hs_forwarder_route (entry.forwarder, &data, 400);
+  g_assert_cmpuint (decision.agents_len, ==, 2);
+  g_assert_true (decision.owner_only);
+  hs_forwarder_handle_owned (entry.forwarder,
+                             &(struct hs_segment_key){ data.from, data.to },
+                             first, 410);
+  /* A copy that comes late opens it nowhere else.  */
+  decision = hs_forwarder_route (entry.forwarder, &syn, 600);
+  g_assert_cmpint (decision.action, ==, HS_FORWARD_DROP);
+  decision = hs_forwarder_route (entry.forwarder, &data, 610);
+  g_assert_cmpuint (only_agent_of (&decision), ==, first);
+  talloc_free (entry.root);
+}
+
+/* The same for a SYN that an agent of the previous service refuses.  */
+static void
+test_refused_syn_follows_route (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment syn = make_segment (HS_SEGMENT_SYN, 9, 100, 0, 0);
+  struct hs_forward_decision decision
+      = hs_forwarder_route (entry.forwarder, &syn, 0);
+  uint64_t first = only_agent_of (&decision);
+
+  report_load_of (&entry, BETA, "new", "a", HS_AGENT_READY, 0, 0);
+  hs_forwarder_set_routing (entry.forwarder,
+                            make_routing (entry.root, "\"service\":\"alpha\"",
+                                          "\"service\":\"beta\""));
+  decision = hs_forwarder_handle_refused_syn (entry.forwarder, &syn, first,
+                                              HS_REASON_DRAINING, 10);
+  g_assert_cmpuint (only_agent_of (&decision), ==, hs_id_from_name ("new"));
+  talloc_free (entry.root);
+}
+
 static void
 test_refused_syn_goes_to_next_agent (void)
 {
@@ -2366,6 +2429,10 @@
                    test_agent_follows_idle_timeout);
   g_test_add_func ("/segment/unanswered-syn",
                    test_unanswered_syn_goes_to_second_agent);
+  g_test_add_func ("/segment/syn-copies-follow-route",
+                   test_syn_copies_follow_route);
+  g_test_add_func ("/segment/refused-syn-follows-route",
+                   test_refused_syn_follows_route);
   g_test_add_func ("/segment/refused-syn",
                    test_refused_syn_goes_to_next_agent);
   g_test_add_func ("/segment/unknown-flow", test_unknown_flow_looked_up);
