--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -236,6 +236,7 @@
           .zone = settings->zone,
           .role = HS_ROLE_AGENT,
           .inner_address = settings->inner_address,
+          .inner_bind_address = settings->inner_bind_address,
           .health_address = settings->health_address,
           .seeds = settings->seeds,
           .seed_port = settings->seed_port,
--- a/src/agent/segment_agent.h
+++ b/src/agent/segment_agent.h
@@ -14,6 +14,7 @@
   const char *zone; /* Availability zone.  */
   const char *service_name;
   struct hs_addr inner_address;      /* UDP, for entries and control hosts.  */
+  struct hs_addr inner_bind_address; /* Port 0: the inner address.  */
   struct hs_addr upstream_address;   /* Where the upstream listens, UDP.  */
   struct hs_addr outbound_address;   /* UDP, for the upstream's segments.  */
   struct hs_addr heartbeats_address; /* HTTP, for its heartbeats.  */
--- a/src/agent/segment_main.c
+++ b/src/agent/segment_main.c
@@ -28,6 +28,10 @@
     "service of the upstream" },
   { "inner", HS_SETTING_ADDR, NULL, 0, 0, OFFSET (agent.inner_address),
     "IP:PORT to listen on for entries and control hosts (UDP)" },
+  { "inner-bind", HS_SETTING_ADDR, "0.0.0.0:0", 0, 0,
+    OFFSET (agent.inner_bind_address),
+    "IP:PORT to bind in place of \"inner\", if that is translated to it; port "
+    "0: the same" },
   { "upstream", HS_SETTING_ADDR, NULL, 0, 0, OFFSET (agent.upstream_address),
     "IP:PORT where the upstream receives segments (UDP)" },
   { "outbound", HS_SETTING_ADDR, NULL, 0, 0, OFFSET (agent.outbound_address),
--- a/src/base/addr.c
+++ b/src/base/addr.c
@@ -80,6 +80,12 @@
   return hs_addr_is_ipv4 (addr) && addr->ip[sizeof mapped_prefix] == 127;
 }
 
+const struct hs_addr *
+hs_addr_or (const struct hs_addr *addr, const struct hs_addr *other)
+{
+  return addr->port != 0 ? addr : other;
+}
+
 struct hs_addr
 hs_addr_from_ipv4 (uint32_t ip, uint16_t port)
 {
--- a/src/base/addr.h
+++ b/src/base/addr.h
@@ -15,6 +15,10 @@
    recognized.  */
 bool hs_addr_is_loopback (const struct hs_addr *addr);
 
+/* Returns ADDR or, if its port is 0, OTHER.  */
+const struct hs_addr *hs_addr_or (const struct hs_addr *addr,
+                                  const struct hs_addr *other);
+
 /* Returns the address for IP and PORT, both in host byte order.  */
 struct hs_addr hs_addr_from_ipv4 (uint32_t ip, uint16_t port);
 
--- a/src/control/group.c
+++ b/src/control/group.c
@@ -4,6 +4,7 @@
    Threads: receive, send, decision worker (named "decide"; this file and the
    other group_*.c files), disk, the HTTP server, log.  */
 
+#include "base/addr.h"
 #include "base/auto.h"
 #include "control/group_state.h"
 
@@ -75,7 +76,8 @@
   if (!open_files (group, error))
     goto fail;
   group->datagrams = hs_datagrams_create (
-      &settings->inner_address, group->received, group->metric_set, error);
+      hs_addr_or (&settings->inner_bind_address, &settings->inner_address),
+      group->received, group->metric_set, error);
   if (group->datagrams == NULL)
     goto fail;
   group->api
--- a/src/control/group.h
+++ b/src/control/group.h
@@ -14,11 +14,12 @@
 struct hs_group_settings
 {
   const char *name;
-  const char *data_folder;      /* Holds the journal.  */
-  struct hs_addr inner_address; /* Control hosts, entries and agents send
-                                   here (UDP).  */
-  struct hs_addr api_address;   /* Operators connect here (HTTP).  */
-  struct hs_addrs seeds;        /* API addresses of control hosts.  */
+  const char *data_folder;           /* Holds the journal.  */
+  struct hs_addr inner_address;      /* Control hosts, entries and agents send
+                                        here (UDP).  */
+  struct hs_addr inner_bind_address; /* Port 0: the inner address.  */
+  struct hs_addr api_address;        /* Operators connect here (HTTP).  */
+  struct hs_addrs seeds;             /* API addresses of control hosts.  */
   uint64_t seed_port; /* Port of the control hosts' inner addresses.  */
   bool bootstrap;     /* An empty data folder starts a group of the
                          seeds.  */
--- a/src/control/group_main.c
+++ b/src/control/group_main.c
@@ -24,6 +24,10 @@
     "existing folder for the journal" },
   { "inner", HS_SETTING_ADDR, NULL, 0, 0, OFFSET (group.inner_address),
     "IP:PORT that control hosts, entries and agents send to (UDP)" },
+  { "inner-bind", HS_SETTING_ADDR, "0.0.0.0:0", 0, 0,
+    OFFSET (group.inner_bind_address),
+    "IP:PORT to bind in place of \"inner\", if that is translated to it; port "
+    "0: the same" },
   { "api", HS_SETTING_ADDR, NULL, 0, 0, OFFSET (group.api_address),
     "IP:PORT that serves the operators' API, /healthz and /metrics (HTTP)" },
   { "bootstrap", HS_SETTING_BOOL, "0", 0, 0, OFFSET (group.bootstrap),
--- a/src/daemon/segment_node.c
+++ b/src/daemon/segment_node.c
@@ -1,6 +1,7 @@
 /* segment_node.c -- what the segment entry and the segment agent share.  */
 
 #include "daemon/segment_node.h"
+#include "base/addr.h"
 #include "base/auto.h"
 #include "base/worker.h"
 
@@ -45,7 +46,8 @@
 {
   struct hs_segment_node *node = talloc_zero (parent, struct hs_segment_node);
   struct hs_datapath_settings datapath_settings
-      = { .inner_address = settings->inner_address,
+      = { .inner_address = *hs_addr_or (&settings->inner_bind_address,
+                                        &settings->inner_address),
           .batches = settings->batches };
 
   node->settings = *settings;
--- a/src/daemon/segment_node.h
+++ b/src/daemon/segment_node.h
@@ -17,6 +17,7 @@
   const char *zone;
   enum hs_role role;
   struct hs_addr inner_address;
+  struct hs_addr inner_bind_address; /* Port 0: the inner address.  */
   struct hs_addr health_address;
   struct hs_addrs seeds;
   uint64_t seed_port;
--- a/src/entry/segment_entry.h
+++ b/src/entry/segment_entry.h
@@ -10,15 +10,16 @@
 
 struct hs_segment_entry_settings
 {
-  const char *name;                /* Unique in the system.  */
-  const char *zone;                /* Availability zone of this host.  */
-  struct hs_addr segments_address; /* UDP, where callers send segments.
-                                      Callers receive answers on a port of
-                                      the same number.  */
-  struct hs_addr inner_address;    /* UDP, for agents and control hosts.  */
-  struct hs_addr health_address;   /* HTTP, for readiness and metrics.  */
-  struct hs_addrs seeds;           /* API addresses of control hosts.  */
-  uint64_t seed_port;              /* Port of the seeds' inner addresses.  */
+  const char *name;                  /* Unique in the system.  */
+  const char *zone;                  /* Availability zone of this host.  */
+  struct hs_addr segments_address;   /* UDP, where callers send segments.
+                                        Callers receive answers on a port of
+                                        the same number.  */
+  struct hs_addr inner_address;      /* UDP, for agents and control hosts.  */
+  struct hs_addr inner_bind_address; /* Port 0: the inner address.  */
+  struct hs_addr health_address;     /* HTTP, for readiness and metrics.  */
+  struct hs_addrs seeds;             /* API addresses of control hosts.  */
+  uint64_t seed_port;                /* Port of the seeds' inner addresses.  */
   double uplink_mbps; /* Rate of this host's uplink, Mbit/s; 0: unlimited.  */
   double flow_lifetime_s; /* Longest lifetime of a flow.  */
   uint64_t drain_max_ms;  /* Longest wait for callers' segments to cease.  */
--- a/src/entry/segment_main.c
+++ b/src/entry/segment_main.c
@@ -30,6 +30,10 @@
     "IP:PORT to listen on for callers' segments (UDP)" },
   { "inner", HS_SETTING_ADDR, NULL, 0, 0, OFFSET (entry.inner_address),
     "IP:PORT to listen on for agents and control hosts (UDP)" },
+  { "inner-bind", HS_SETTING_ADDR, "0.0.0.0:0", 0, 0,
+    OFFSET (entry.inner_bind_address),
+    "IP:PORT to bind in place of \"inner\", if that is translated to it; port "
+    "0: the same" },
   { "health", HS_SETTING_ADDR, NULL, 0, 0, OFFSET (entry.health_address),
     "IP:PORT to serve readiness and metrics on (HTTP)" },
   { "link-mbps", HS_SETTING_DECIMAL, "0", 0, UPLINK_MAX_MBPS,
