--- a/tests/fakes/group.c
+++ b/tests/fakes/group.c
@@ -870,6 +870,8 @@
                                    .random = seed * 2 + 1,
                                    .hosts_len = plan->hosts,
                                    .changes = plan->changes,
+                                   .faults = plan->faults,
+                                   .faults_len = plan->faults_len,
                                    .end_ms = plan->end_ms };
 
   hs_list_init (&simulation.events);
--- a/tests/fakes/group.h
+++ b/tests/fakes/group.h
@@ -71,6 +71,8 @@
   uint64_t end_ms;
   const struct group_scheduled_change *changes; /* By time.  */
   size_t changes_len;
+  const struct group_scheduled_fault *faults;
+  size_t faults_len;
 };
 
 /* Counts of a run.  */
@@ -99,7 +101,7 @@
                                     const struct group_scheduled_fault *faults,
                                     size_t len);
 
-/* Runs a group with the changes of PLAN and no faults.  */
+/* Runs a group with the changes and faults of PLAN.  */
 struct group_report group_simulate_plan (uint64_t seed,
                                          const struct group_plan *plan);
 
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -108,6 +108,39 @@
   g_assert_cmpuint (failed, ==, 0);
 }
 
+/* The same for groups of three and of four, which have fewer hosts to spare:
+   each tolerates one loss.  */
+static void
+test_small_groups (gconstpointer data)
+{
+  enum group_fault fault = (enum group_fault)GPOINTER_TO_INT (data);
+  unsigned int failed = 0;
+
+  for (size_t hosts = 3; hosts < GROUP_HOSTS; hosts++)
+    for (unsigned int step = 0; step < MATRIX_STEPS;
+         step += MATRIX_STRIDE * sample_stride ())
+      {
+        struct group_scheduled_fault at = { fault, step };
+        struct group_report report = group_simulate_plan (
+            MATRIX_SEED, &(struct group_plan){ .hosts = hosts,
+                                               .end_ms = 16000,
+                                               .faults = &at,
+                                               .faults_len = 1 });
+
+        if (group_report_passed (&report))
+          continue;
+        printf ("# failed: hosts %zu %s@%u two_leaders %u lost_writes %u "
+                "stale_reads %u state_regressions %u no_leader %u "
+                "without_leader %u acknowledged %u\n",
+                hosts, group_fault_name (fault), step, report.two_leaders,
+                report.lost_writes, report.stale_reads,
+                report.state_regressions, report.no_leader,
+                report.without_leader, report.acknowledged);
+        failed++;
+      }
+  g_assert_cmpuint (failed, ==, 0);
+}
+
 static void
 test_fault_pairs (void)
 {
@@ -283,7 +316,13 @@
       g_autofree char *path = g_strdup_printf (
           "/replica/matrix/%s", group_fault_name ((enum group_fault)fault));
 
+      g_autofree char *small_path
+          = g_strdup_printf ("/replica/small-groups/%s",
+                             group_fault_name ((enum group_fault)fault));
+
       g_test_add_data_func (path, GINT_TO_POINTER (fault), test_fault_matrix);
+      g_test_add_data_func (small_path, GINT_TO_POINTER (fault),
+                            test_small_groups);
     }
   g_test_add_func ("/replica/pairs", test_fault_pairs);
   g_test_add_func ("/replica/replaced-in-turn", test_replaced_in_turn);
