Keep as many voting control hosts as the losses to be tolerated ask for

Found in reading the change of the group's membership again: with two members silent, the first host that joins had both removed before it was added, so that for a moment three hosts vote where the loss of two disks is to be borne; and a group of four would shrink to three there. Entries acknowledged by two disks could then be lost with them.

Change: a group of even size, from which a member has just been removed, adds the host that joins before it removes another one. The setting tolerated-losses, which the deployments give, sets the size that the group keeps (twice the number and one) and aims at (at least five). Where three losses are to be tolerated, seven hosts vote now.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -1860,6 +1860,12 @@
 void hs_replica_set_seeds (struct hs_replica *replica,
                            const struct hs_addr *seeds, size_t len);
 
+/* LOSSES: hosts that may be lost at once, with their disks, without the loss
+   of a committed entry; 1 before the first call.  The group aims at a size
+   that tolerates them, up to HS_CONTROL_MEMBERS_MAX hosts.  */
+void hs_replica_set_tolerated_losses (struct hs_replica *replica,
+                                      size_t losses);
+
 /* Appends a command of LEN bytes, which is copied.  Returns the index of its
    entry, or 0 if this host is not the leader or LEN is above
    HS_COMMAND_SIZE_MAX.  The command is committed when the applied index
--- a/src/consensus/replica.c
+++ b/src/consensus/replica.c
@@ -54,6 +54,7 @@
   replica->ops = *ops;
   replica->ctx = ctx;
   replica->disk_usable = true;
+  hs_replica_set_tolerated_losses (replica, TOLERATED_LOSSES_DEFAULT);
   hs_list_init (&replica->log);
   hs_list_init (&replica->peers);
   hs_list_init (&replica->pending_messages);
@@ -241,6 +242,21 @@
   memcpy (replica->seeds, seeds, replica->seeds_len * sizeof *seeds);
 }
 
+void
+hs_replica_set_tolerated_losses (struct hs_replica *replica, size_t losses)
+{
+  size_t max = (HS_CONTROL_MEMBERS_MAX - 1) / 2;
+
+  if (losses < TOLERATED_LOSSES_DEFAULT)
+    losses = TOLERATED_LOSSES_DEFAULT;
+  if (losses > max)
+    losses = max;
+  replica->min_size = 2 * losses + 1;
+  replica->target_size = replica->min_size > TARGET_SIZE_DEFAULT
+                             ? replica->min_size
+                             : TARGET_SIZE_DEFAULT;
+}
+
 bool
 hs_replica_is_leader (const struct hs_replica *replica)
 {
--- a/src/consensus/replica_leader.c
+++ b/src/consensus/replica_leader.c
@@ -437,18 +437,20 @@
       if (update_joining (replica, peer, now))
         return;
     }
-  /* A group of four tolerates no more losses than one of three.  An odd group
-     keeps a silent member until another host can take its place, so that as
-     many disks as before have each entry.  */
+  /* A group of four tolerates no more losses than one of three.  An odd group,
+     or a small one, keeps a silent member until another host can take its
+     place, so that as many disks as before have each entry.  */
   silent = find_silent_member (replica, MEMBER_TIMEOUT_MS, now);
   if (silent != NULL && is_even (replica->members.len)
-      && replica->members.len > GROUP_MIN_SIZE)
+      && replica->members.len > replica->min_size)
     propose_remove (replica, silent->id, now);
 }
 
 /* Makes PEER a member once it has caught up.  A member that is gone is removed
    first: one at the same address, which has lost its disk, or one that has
-   been silent for MEMBER_TIMEOUT_MS.  Returns whether the members changed.  */
+   been silent for MEMBER_TIMEOUT_MS.  An even group, from which one has just
+   been removed, adds PEER before it removes another one.  Returns whether the
+   members changed.  */
 static bool
 update_joining (struct hs_replica *replica, const struct peer *peer,
                 uint64_t now)
@@ -459,14 +461,14 @@
   if (peer->match_index + JOIN_LAG_MAX < replica->commit_index
       || peer->match_index == 0)
     return false;
-  if (replaced == NULL)
+  if (replaced == NULL && !is_even (replica->members.len))
     replaced = find_silent_member (replica, MEMBER_TIMEOUT_MS, now);
   if (replaced != NULL)
     {
       propose_remove (replica, replaced->id, now);
       return true;
     }
-  if (replica->members.len >= GROUP_TARGET_SIZE)
+  if (replica->members.len >= replica->target_size)
     return false;
   /* An even group needs one host more for its majority.  The silent member
      may be about to be replaced by PEER.  */
--- a/src/consensus/replica_state.h
+++ b/src/consensus/replica_state.h
@@ -25,12 +25,9 @@
 /* A member silent for this long is replaced by a host that joins.  */
 #define MEMBER_TIMEOUT_MS 4000
 
-/* Voting hosts.  Five tolerate the loss of two; more would only add
-   messages.  */
-#define GROUP_TARGET_SIZE 5
-
-/* Voting hosts that a group keeps even if one of them is gone.  */
-#define GROUP_MIN_SIZE 3
+/* Voting hosts, unless more losses have to be tolerated: five tolerate two. */
+#define TARGET_SIZE_DEFAULT 5
+#define TOLERATED_LOSSES_DEFAULT 1
 
 /* Applied entries that the log keeps on average, for followers that lag.  A
    compaction drops all of them, and runs when there are twice as many.  */
@@ -102,6 +99,9 @@
   size_t votes_len;
   uint64_t votes[HS_CONTROL_MEMBERS_MAX]; /* Ids of hosts that voted for this
                                              one.  */
+  size_t min_size;    /* Voting hosts that the group keeps even if one of them
+                         is gone.  */
+  size_t target_size; /* Voting hosts that it aims at.  */
   size_t seeds_len;
   struct hs_addr seeds[HS_CONTROL_MEMBERS_MAX];
 
--- a/src/control/group.c
+++ b/src/control/group.c
@@ -258,6 +258,8 @@
     }
   group->replica
       = hs_replica_create (group->decision_worker, &self, seed, &ops, group);
+  hs_replica_set_tolerated_losses (group->replica,
+                                   group->settings.tolerated_losses);
 }
 
 /* Starts a new group of the seeds; called only if the journal is empty.  The
--- a/src/control/group.h
+++ b/src/control/group.h
@@ -20,9 +20,10 @@
   struct hs_addr inner_bind_address; /* Port 0: the inner address.  */
   struct hs_addr api_address;        /* Operators connect here (HTTP).  */
   struct hs_addrs seeds;             /* API addresses of control hosts.  */
-  uint64_t seed_port; /* Port of the control hosts' inner addresses.  */
-  bool bootstrap;     /* An empty data folder starts a group of the
-                         seeds.  */
+  uint64_t seed_port;        /* Port of the control hosts' inner addresses.  */
+  uint64_t tolerated_losses; /* Hosts that may be lost at once.  */
+  bool bootstrap;            /* An empty data folder starts a group of the
+                                seeds.  */
   const struct hs_adapter *adapter;
 };
 
--- a/src/control/group_main.c
+++ b/src/control/group_main.c
@@ -16,6 +16,9 @@
   struct hs_group_settings group;
 };
 
+/* The group has at most 15 voting hosts, and tolerates fewer losses.  */
+#define TOLERATED_LOSSES_MAX 1000
+
 #define OFFSET(field) offsetof (struct program_settings, field)
 
 static const struct hs_setting settings_table[] = {
@@ -30,6 +33,9 @@
     "0: the same" },
   { "api", HS_SETTING_ADDR, NULL, 0, 0, OFFSET (group.api_address),
     "IP:PORT that serves the operators' API, /healthz and /metrics (HTTP)" },
+  { "tolerated-losses", HS_SETTING_UINT, "1", 0, TOLERATED_LOSSES_MAX,
+    OFFSET (group.tolerated_losses),
+    "control hosts that may be lost at once, with their disks" },
   { "bootstrap", HS_SETTING_BOOL, "0", 0, 0, OFFSET (group.bootstrap),
     "1: an empty data folder starts a new group of the seeds" },
 };
--- a/tests/fakes/group.c
+++ b/tests/fakes/group.c
@@ -109,6 +109,8 @@
   size_t faults_len;
   const struct group_scheduled_change *changes; /* Those to come.  */
   uint64_t end_ms;
+  size_t tolerated_losses;
+  size_t max_members; /* Largest group so far.  */
   uint64_t packet_loss_until;
   uint64_t duplicates_until;
   uint64_t partition_until;
@@ -444,6 +446,19 @@
   return talloc_memdup (parent, &host->version, sizeof host->version);
 }
 
+/* Keeps the size of the smallest group after the largest one.  */
+static void
+note_members (struct simulation *simulation, size_t members)
+{
+  if (members > simulation->max_members)
+    {
+      simulation->max_members = members;
+      simulation->report.min_members = members;
+    }
+  else if (members < simulation->report.min_members)
+    simulation->report.min_members = members;
+}
+
 static void
 on_changed (void *ctx)
 {
@@ -453,6 +468,7 @@
 
   if (host->replica == NULL || !hs_replica_is_leader (host->replica))
     return;
+  note_members (simulation, hs_replica_members (host->replica)->len);
   term = hs_replica_term (host->replica);
   if (term >= TERM_MAX)
     return;
@@ -498,6 +514,7 @@
       hs_replica_bootstrap (replica, host->self.id, &simulation->seeds);
     }
   hs_replica_set_seeds (replica, simulation->seed_addresses, SEED_HOSTS);
+  hs_replica_set_tolerated_losses (replica, simulation->tolerated_losses);
   host->replica = replica;
   generation = host->generation;
   hs_replica_start (replica, simulation->now);
@@ -667,7 +684,7 @@
 }
 
 /* Returns the leader or, unless IS_LEADER, the first running host that is
-   none.  NULL if there is none.  */
+   none and is not isolated.  NULL if there is none.  */
 static struct host *
 find_running_host (struct simulation *simulation, bool is_leader)
 {
@@ -676,6 +693,7 @@
       struct host *host = &simulation->hosts[i];
 
       if (host->replica != NULL
+          && host->inbound_blocked_until <= simulation->now
           && hs_replica_is_leader (host->replica) == is_leader)
         return host;
     }
@@ -872,6 +890,7 @@
                                    .changes = plan->changes,
                                    .faults = plan->faults,
                                    .faults_len = plan->faults_len,
+                                   .tolerated_losses = plan->tolerated_losses,
                                    .end_ms = plan->end_ms };
 
   hs_list_init (&simulation.events);
--- a/tests/fakes/group.h
+++ b/tests/fakes/group.h
@@ -68,6 +68,7 @@
 struct group_plan
 {
   size_t hosts; /* At the start, 3 to GROUP_HOSTS.  */
+  size_t tolerated_losses;
   uint64_t end_ms;
   const struct group_scheduled_change *changes; /* By time.  */
   size_t changes_len;
@@ -86,6 +87,7 @@
   unsigned int state_regressions; /* A running host's state became older.  */
   unsigned int no_leader;         /* No leader long after the last fault.  */
   unsigned int without_leader; /* Running hosts that know no leader then.  */
+  size_t min_members; /* Smallest group, from the first full one on.  */
   unsigned int acknowledged;
   unsigned int reads;
   uint64_t longest_gap_ms; /* Between two acknowledgements, or from the last
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -229,6 +229,48 @@
                                   .changes_len = G_N_ELEMENTS (changes) });
 }
 
+/* Guards against acknowledged entries on too few disks: the group does not
+   shrink below what the losses to be tolerated ask for, but for the moment in
+   which one host takes the place of another.  */
+static void
+test_keeps_disks (void)
+{
+  static const struct group_scheduled_change removed[]
+      = { { .at = 3000, .kind = GROUP_CHANGE_REMOVE_FOLLOWER } };
+  static const struct group_scheduled_change replaced[] = {
+    { .at = 3000, .kind = GROUP_CHANGE_ISOLATE_FOLLOWER, .for_ms = 9000 },
+    { .at = 3500, .kind = GROUP_CHANGE_REMOVE_FOLLOWER },
+    { .at = 8000, .kind = GROUP_CHANGE_ADD }
+  };
+  static const struct
+  {
+    struct group_plan plan;
+    size_t min_members;
+  } cases[] = { { { .hosts = 4, .changes = removed, .changes_len = 1 }, 3 },
+                { { .hosts = 4,
+                    .tolerated_losses = 2,
+                    .changes = removed,
+                    .changes_len = 1 },
+                  4 },
+                { { .hosts = 5,
+                    .tolerated_losses = 2,
+                    .changes = replaced,
+                    .changes_len = 3 },
+                  4 } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    for (uint64_t seed = 1; seed <= FIXED_SEEDS; seed++)
+      {
+        struct group_plan plan = cases[i].plan;
+        struct group_report report;
+
+        plan.end_ms = 20000;
+        report = group_simulate_plan (seed, &plan);
+        g_assert_true (group_report_passed (&report));
+        g_assert_cmpuint (report.min_members, ==, cases[i].min_members);
+      }
+}
+
 /* Guards against a host that stays outside of the group for ever: it is cut
    off until another one has taken its place, and must follow the group again
    afterwards.  */
@@ -331,6 +373,7 @@
   g_test_add_func ("/replica/replaced-while-isolated",
                    test_replaced_while_isolated);
   g_test_add_func ("/replica/disks-full-in-turn", test_disks_full_in_turn);
+  g_test_add_func ("/replica/keeps-disks", test_keeps_disks);
   g_test_add_func ("/replica/cell", test_single_case);
   return g_test_run ();
 }
