Forget the answers of a lookup once it has found the owner

Cause: an entry that knows the earlier flow gives its owner the new flow's first segment; the owner denies it, and with the answers that the other agents gave about the earlier flow, up to a minute ago, all agents count as having denied the new one.

Change: the answers are dropped once the owner is found. Related: a segment was reset without a lookup for 1.5 s after the reset of an earlier flow from its port; now only one with sequence numbers near those of that flow is.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -896,6 +896,10 @@
                               flow or cannot accept the SYN.  */
 };
 
+/* Sequence numbers of one flow differ by less than this: the largest number of
+   bytes that a flow carries.  */
+#define HS_SEQUENCE_WINDOW (1U << 24)
+
 struct hs_segment
 {
   struct hs_addr from;
--- a/src/segment/owner_lookup.c
+++ b/src/segment/owner_lookup.c
@@ -40,6 +40,9 @@
 
 /* Private functions.  */
 
+static bool is_of_unowned_flow (const struct hs_forwarder_flow *flow,
+                                const struct hs_segment *segment,
+                                uint64_t now);
 static size_t send_queries (struct hs_forwarder *forwarder,
                             struct hs_forwarder_flow *flow, uint64_t now);
 static size_t find_possible_owners (const struct hs_forwarder *forwarder,
@@ -89,6 +92,9 @@
 
   flow->owner_id = agent_id;
   flow->is_unowned = false;
+  /* If the owner denies the flow later, it is a new one from the same port, of
+     which the other agents have said nothing.  */
+  flow->non_owner_ids_len = 0;
   if (!flow->lookup_active || agent == NULL)
     return;
   hs_owner_lookup_stop (flow);
@@ -189,14 +195,14 @@
   struct hs_forward_decision decision
       = hs_forward_decision_without_agents (HS_FORWARD_QUEUE, HS_REASON_NONE);
 
+  if (!flow->lookup_active && is_of_unowned_flow (flow, segment, now))
+    return hs_forward_decision_without_agents (HS_FORWARD_RESET,
+                                               HS_REASON_WRONG_HOST);
   flow->caller_seq = segment->seq;
   if ((segment->flags & HS_SEGMENT_ACK) != 0)
     flow->caller_ack = segment->ack;
   if (flow->lookup_active)
     return decision;
-  if (flow->is_unowned && now - flow->unowned_at < UNOWNED_TTL_MS)
-    return hs_forward_decision_without_agents (HS_FORWARD_RESET,
-                                               HS_REASON_WRONG_HOST);
   set_lookup_service (forwarder, flow);
   flow->owner_id = 0;
   flow->syn_agent_ids_len = 0;
@@ -291,6 +297,18 @@
 
 /* Private definitions.  */
 
+/* Returns whether a recent lookup has found no owner of the flow that SEGMENT
+   belongs to, which may be a later one from the same port.  */
+static bool
+is_of_unowned_flow (const struct hs_forwarder_flow *flow,
+                    const struct hs_segment *segment, uint64_t now)
+{
+  uint32_t distance = segment->seq - flow->caller_seq;
+
+  return flow->is_unowned && now - flow->unowned_at < UNOWNED_TTL_MS
+         && distance + HS_SEQUENCE_WINDOW < 2 * HS_SEQUENCE_WINDOW;
+}
+
 /* Queries the agents in scope, or of the next wider scope that has any left to
    query, unless the uplink refuses queries now.  Returns the number of these
    agents, also if the uplink refuses.  */
--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -75,10 +75,6 @@
    request occupies a slot.  */
 #define WORK_EWMA_PERCENT 5
 
-/* Sequence numbers of one flow differ by less than this: the largest number of
-   bytes that a flow carries.  */
-#define SEQUENCE_WINDOW (1U << 24)
-
 enum flow_state
 {
   FLOW_SYN_SENT,        /* The SYN was delivered to the upstream.  */
@@ -865,7 +861,7 @@
       break;
     }
   return flow->has_upstream_isn
-         && segment->ack - flow->upstream_isn >= SEQUENCE_WINDOW;
+         && segment->ack - flow->upstream_isn >= HS_SEQUENCE_WINDOW;
 }
 
 /* Removes a flow that was reset or that both ends have closed.  Segments that
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -1713,6 +1713,44 @@
   talloc_free (entry.root);
 }
 
+/* Guards against resets by answers about an earlier flow from the same port:
+   the new flow was opened through another entry, and only its own lookup
+   counts.  */
+static void
+test_port_used_again (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment data = make_segment (HS_SEGMENT_ACK, 9, 101, 501, 50);
+  struct hs_segment_key key = { data.from, data.to };
+  struct hs_forward_decision decision;
+  uint64_t owner = hs_id_from_name ("z");
+
+  hs_forwarder_route (entry.forwarder, &data, 0);
+  answer_not_owned_by_name (&entry, &data, "x");
+  answer_not_owned_by_name (&entry, &data, "y");
+  hs_forwarder_handle_owned (entry.forwarder, &key, owner, 5);
+  data.seq = 0x80000101;
+  decision = hs_forwarder_route (entry.forwarder, &data, 9000);
+  g_assert_cmpuint (only_agent_of (&decision), ==, owner);
+  answer_not_owned_at (&entry, &data, owner, 9005);
+  g_assert_cmpuint (entry.resets->len, ==, 0);
+  decision = hs_forwarder_route (entry.forwarder, &data, 9200);
+  g_assert_cmpint (decision.action, ==, HS_FORWARD_QUEUE);
+  answer_not_owned_at (&entry, &data, hs_id_from_name ("x"), 9205);
+  answer_not_owned_at (&entry, &data, hs_id_from_name ("y"), 9205);
+  answer_not_owned_at (&entry, &data, owner, 9205);
+  g_assert_cmpuint (entry.resets->len, ==, 1);
+  /* Other segments of that flow are reset at once, those of the next flow from
+     the port are not.  */
+  data.seq += 50;
+  decision = hs_forwarder_route (entry.forwarder, &data, 9300);
+  g_assert_cmpint (decision.action, ==, HS_FORWARD_RESET);
+  data.seq = 101;
+  decision = hs_forwarder_route (entry.forwarder, &data, 9400);
+  g_assert_cmpint (decision.action, ==, HS_FORWARD_QUEUE);
+  talloc_free (entry.root);
+}
+
 /* Guards against flows that are never reset, or are reset too early, where
    there are more agents than can be queried: those of the services that the
    route names and has named are queried.  */
@@ -2476,6 +2514,7 @@
   g_test_add_func ("/segment/incomplete-pool",
                    test_incomplete_pool_defers_reset);
   g_test_add_func ("/segment/many-agents-queried", test_many_agents_queried);
+  g_test_add_func ("/segment/port-used-again", test_port_used_again);
   g_test_add_func ("/segment/former-services", test_former_services_queried);
   g_test_add_func ("/segment/no-upstream-not-queried",
                    test_agent_without_upstream_not_queried);
