Add the types and messages of evacuations, warm-up and learned work

A configuration holds the rate of new flows that a cold upstream bears and the regions that a route allows; both formats of it read them, and routes of the type download. The load report carries the work left and the room of a cold upstream, in a nested array, since a MessagePack array of one byte of header ends at 15 elements. Nothing acts on the new fields yet.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -46,6 +46,11 @@
   HS_REASON_CONFLICT,      /* A concurrent change was accepted first.  */
   HS_REASON_INVALID,       /* The service document failed validation.  */
   HS_REASON_STORAGE,       /* The disk failed or is full.  */
+  HS_REASON_EVACUATED,  /* The upstream's availability zone is evacuated.  */
+  HS_REASON_WARMING_UP, /* The upstream is cold and bears no more new flows
+                           at present.  */
+  HS_REASON_REGION,     /* No upstream is in a region that the route
+                           allows.  */
   HS_REASON_COUNT
 };
 
@@ -882,6 +887,46 @@
                             const struct hs_flow_key *flow, uint64_t now);
 struct hs_request_totals hs_tracker_totals (const struct hs_tracker *tracker);
 
+/* Evacuations: the availability zones whose upstreams are to get no new
+   flows.  */
+
+#define HS_EVACUATED_ZONES_MAX 16 /* At once.  */
+
+struct hs_evacuations
+{
+  uint64_t revision; /* Log index of the order that last changed the zones; 0:
+                        none yet.  */
+  size_t len;
+  char zones[HS_EVACUATED_ZONES_MAX][HS_NAME_SIZE];
+};
+
+/* An order of an operator.  */
+struct hs_evacuation_order
+{
+  bool start; /* Evacuate the zone, else end its evacuation.  */
+  char zone[HS_NAME_SIZE];
+  bool is_conditional;    /* It takes effect only if BASE_REVISION is still the
+                             revision.  */
+  uint64_t base_revision; /* If IS_CONDITIONAL.  */
+};
+
+bool hs_evacuations_contain (const struct hs_evacuations *evacuations,
+                             const char *zone);
+
+/* Carries out ORDER; REVISION is the log index of its entry.  An order for a
+   state that the zone is in already succeeds and changes nothing, so that an
+   order that is sent again has no second effect.  Returns false and sets
+   HS_ERROR_CONFLICT if a conditional order is based on another revision, or
+   HS_ERROR_LIMIT if HS_EVACUATED_ZONES_MAX zones are evacuated already.  */
+bool hs_evacuations_apply (struct hs_evacuations *evacuations,
+                           const struct hs_evacuation_order *order,
+                           uint64_t revision, GError **error);
+
+/* Replaces HELD by RECEIVED if that has a higher revision.  Returns whether it
+   has.  */
+bool hs_evacuations_update (struct hs_evacuations *held,
+                            const struct hs_evacuations *received);
+
 /* Segments: the datagrams of segment flows between a caller's address and the
    address of a service.  struct hs_segment is the decoded form; the bytes are
    decoded once, by the code that knows the wire format.  */
@@ -934,8 +979,9 @@
 enum hs_request_class
 {
   HS_REQUEST_CLASS_IDEMPOTENT,
-  HS_REQUEST_CLASS_ONCE,  /* Not idempotent.  */
-  HS_REQUEST_CLASS_UPLOAD /* Not idempotent, with a large body.  */
+  HS_REQUEST_CLASS_ONCE,    /* Not idempotent.  */
+  HS_REQUEST_CLASS_UPLOAD,  /* Not idempotent, with a large body.  */
+  HS_REQUEST_CLASS_DOWNLOAD /* Idempotent, with a large response.  */
 };
 
 struct hs_traffic_split
@@ -944,6 +990,8 @@
   uint32_t weight; /* Share of new flows, relative to the route's others.  */
 };
 
+#define HS_ROUTE_REGIONS_MAX 8 /* Regions that a route allows.  */
+
 struct hs_service_route
 {
   const char *name;
@@ -954,6 +1002,15 @@
   uint32_t priority;   /* 0 is the highest priority.  */
   size_t splits_len;
   struct hs_traffic_split *splits;
+  size_t regions_len;   /* 0: flows may go to upstreams in any region.  */
+  const char **regions; /* Names, at most HS_ROUTE_REGIONS_MAX.  */
+};
+
+struct hs_configured_service
+{
+  const char *name;
+  uint32_t cold_flow_rate; /* New flows in 1,000 s that one of its upstreams
+                              bears while it is cold; 0: not limited.  */
 };
 
 /* The object owns all strings and arrays that it points to.  */
@@ -963,7 +1020,7 @@
   size_t routes_len;
   struct hs_service_route *routes;
   size_t services_len;
-  const char **service_names;
+  struct hs_configured_service *services;
   uint32_t flow_idle_ms; /* Silence after which a flow may be removed; 0: no
                             limit.  */
 };
@@ -1079,6 +1136,8 @@
 /* Returns a static string such as "ready".  */
 const char *hs_agent_state_name (enum hs_agent_state state);
 
+#define HS_COLD_ROOM_UNLIMITED UINT32_MAX
+
 struct hs_load_report
 {
   uint64_t agent_id;
@@ -1093,6 +1152,10 @@
   uint32_t open_flows;
   uint32_t cold_ms; /* Time left until the upstream is warm; 0: it is warm.  */
   uint32_t mean_work_us; /* Mean time of a request in a slot; 0: not known.  */
+  uint32_t work_left_us; /* Expected time in slots that the requests in
+                            progress, queued ones included, still need.  */
+  uint32_t cold_room;    /* New flows that the upstream bears in the present
+                            second; HS_COLD_ROOM_UNLIMITED: no limit.  */
   bool no_upstream; /* There is no upstream process that could own a flow.  */
   char zone[HS_NAME_SIZE];
 };
--- a/src/base/json.c
+++ b/src/base/json.c
@@ -3,6 +3,7 @@
 #include "base/json.h"
 
 #include <string.h>
+#include <talloc.h>
 
 /* Public definitions.  */
 
@@ -71,6 +72,46 @@
   return json_is_array (*array) || hs_json_set_field_error (key, error);
 }
 
+bool
+hs_json_rate (const json_t *object, const char *key, uint32_t *rate,
+              GError **error)
+{
+  const json_t *number = json_object_get (object, key);
+  double per_1000_s = json_number_value (number) * 1000;
+
+  *rate = 0;
+  if (number == NULL || json_is_null (number))
+    return true;
+  if (!json_is_number (number) || per_1000_s < 0 || per_1000_s > UINT32_MAX)
+    return hs_json_set_field_error (key, error);
+  *rate = (uint32_t)per_1000_s;
+  return true;
+}
+
+bool
+hs_json_names (const json_t *object, const char *key, void *parent, size_t max,
+               const char ***names, size_t *len, GError **error)
+{
+  const json_t *array = json_object_get (object, key);
+
+  *len = 0;
+  *names = NULL;
+  if (array == NULL || json_is_null (array))
+    return true;
+  if (!json_is_array (array) || json_array_size (array) > max)
+    return hs_json_set_field_error (key, error);
+  *names = talloc_array (parent, const char *, json_array_size (array));
+  for (size_t i = 0; i < json_array_size (array); i++)
+    {
+      const char *name = json_string_value (json_array_get (array, i));
+
+      if (name == NULL || strlen (name) >= HS_NAME_SIZE)
+        return hs_json_set_field_error (key, error);
+      (*names)[(*len)++] = talloc_strdup (*names, name);
+    }
+  return true;
+}
+
 bool
 hs_json_set_field_error (const char *key, GError **error)
 {
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -38,6 +38,17 @@
 bool hs_json_array (const json_t *object, const char *key,
                     const json_t **array, GError **error);
 
+/* Gets a rate in events per second, in thousandths, from a number that is not
+   negative; 0 if the field is missing or null.  */
+bool hs_json_rate (const json_t *object, const char *key, uint32_t *rate,
+                   GError **error);
+
+/* Gets an array of at most MAX strings shorter than HS_NAME_SIZE, copied under
+   PARENT; none if the field is missing or null.  */
+bool hs_json_names (const json_t *object, const char *key, void *parent,
+                    size_t max, const char ***names, size_t *len,
+                    GError **error);
+
 /* Sets ERROR to an HS_ERROR_MALFORMED that names KEY.  Always returns
    false.  */
 bool hs_json_set_field_error (const char *key, GError **error);
--- a/src/base/verdict.c
+++ b/src/base/verdict.c
@@ -27,7 +27,10 @@
         [HS_REASON_CANCELLED] = "cancelled",
         [HS_REASON_CONFLICT] = "conflict",
         [HS_REASON_INVALID] = "invalid",
-        [HS_REASON_STORAGE] = "storage" };
+        [HS_REASON_STORAGE] = "storage",
+        [HS_REASON_EVACUATED] = "evacuated",
+        [HS_REASON_WARMING_UP] = "warming-up",
+        [HS_REASON_REGION] = "region" };
 
 /* Public definitions.  */
 
--- a/src/document/configuration.c
+++ b/src/document/configuration.c
@@ -16,7 +16,8 @@
 static const char *const request_class_names[]
     = { [HS_REQUEST_CLASS_IDEMPOTENT] = "idempotent",
         [HS_REQUEST_CLASS_ONCE] = "once",
-        [HS_REQUEST_CLASS_UPLOAD] = "upload" };
+        [HS_REQUEST_CLASS_UPLOAD] = "upload",
+        [HS_REQUEST_CLASS_DOWNLOAD] = "download" };
 
 /* Private functions.  */
 
@@ -26,6 +27,9 @@
 static bool read_services (const json_t *array,
                            struct hs_configuration *configuration,
                            GError **error);
+static bool read_service (const json_t *value, void *parent,
+                          struct hs_configured_service *service,
+                          GError **error);
 static bool read_routes (const json_t *array,
                          struct hs_configuration *configuration,
                          GError **error);
@@ -82,16 +86,32 @@
   size_t len = json_array_size (array);
 
   configuration->services_len = len;
-  configuration->service_names
-      = talloc_array (configuration, const char *, len);
+  configuration->services
+      = talloc_zero_array (configuration, struct hs_configured_service, len);
   for (size_t i = 0; i < len; i++)
-    {
-      const char *name = json_string_value (json_array_get (array, i));
+    if (!read_service (json_array_get (array, i), configuration,
+                       &configuration->services[i], error))
+      return false;
+  return true;
+}
 
-      if (name == NULL || !hs_name_is_valid (name))
-        return hs_json_set_field_error ("services", error);
-      configuration->service_names[i] = talloc_strdup (configuration, name);
-    }
+/* Reads a service: its name, or an object with "name" and, if its upstreams
+   bear only so many new flows a second while they are cold,
+   "cold_flows_per_s".  */
+static bool
+read_service (const json_t *value, void *parent,
+              struct hs_configured_service *service, GError **error)
+{
+  const char *name = json_string_value (value);
+
+  if (json_is_object (value)
+      && (!hs_json_name (value, "name", &name, error)
+          || !hs_json_rate (value, "cold_flows_per_s",
+                            &service->cold_flow_rate, error)))
+    return false;
+  if (name == NULL || !hs_name_is_valid (name))
+    return hs_json_set_field_error ("services", error);
+  service->name = talloc_strdup (parent, name);
   return true;
 }
 
@@ -131,7 +151,9 @@
   if (!hs_addr_parse (address, &route->address))
     return hs_json_set_field_error ("address", error);
   route->name = talloc_strdup (parent, name);
-  return read_splits (object, parent, route, error);
+  return read_splits (object, parent, route, error)
+         && hs_json_names (object, "regions", parent, HS_ROUTE_REGIONS_MAX,
+                           &route->regions, &route->regions_len, error);
 }
 
 static bool
--- a/src/segment/routing.c
+++ b/src/segment/routing.c
@@ -193,7 +193,7 @@
 has_service (const struct hs_configuration *configuration, const char *service)
 {
   for (size_t i = 0; i < configuration->services_len; i++)
-    if (strcmp (configuration->service_names[i], service) == 0)
+    if (strcmp (configuration->services[i].name, service) == 0)
       return true;
   return false;
 }
--- a/src/wire/configuration_message.c
+++ b/src/wire/configuration_message.c
@@ -16,7 +16,8 @@
 #define ROUTES_MAX 65536
 #define SERVICES_MAX 65536
 #define CONFIGURATION_FIELDS 4
-#define ROUTE_FIELDS 8                /* Including two for the address.  */
+#define ROUTE_FIELDS 9 /* Including two for the address.  */
+#define SERVICE_FIELDS 2
 #define SPLIT_FIELDS 2                /* Fields of one traffic split.  */
 #define PREFIX_SIZE sizeof (uint32_t) /* Holds the uncompressed length.  */
 
@@ -52,7 +53,11 @@
   msgpack_pack_uint32 (&out, configuration->flow_idle_ms);
   msgpack_pack_array (&out, configuration->services_len);
   for (size_t i = 0; i < configuration->services_len; i++)
-    hs_pack_text (&out, configuration->service_names[i]);
+    {
+      msgpack_pack_array (&out, SERVICE_FIELDS);
+      hs_pack_text (&out, configuration->services[i].name);
+      msgpack_pack_uint32 (&out, configuration->services[i].cold_flow_rate);
+    }
   msgpack_pack_array (&out, configuration->routes_len);
   for (size_t i = 0; i < configuration->routes_len; i++)
     pack_route (&out, &configuration->routes[i]);
@@ -161,6 +166,9 @@
       hs_pack_text (out, route->splits[i].service_name);
       msgpack_pack_uint32 (out, route->splits[i].weight);
     }
+  msgpack_pack_array (out, route->regions_len);
+  for (size_t i = 0; i < route->regions_len; i++)
+    hs_pack_text (out, route->regions[i]);
 }
 
 static bool
@@ -181,14 +189,23 @@
                  struct hs_configuration *configuration)
 {
   uint32_t len;
-  struct hs_unpacker names = hs_unpack_array (in, &len, SERVICES_MAX);
+  struct hs_unpacker services = hs_unpack_array (in, &len, SERVICES_MAX);
 
   configuration->services_len = len;
-  configuration->service_names
-      = talloc_array (configuration, const char *, len);
+  configuration->services
+      = talloc_zero_array (configuration, struct hs_configured_service, len);
   for (uint32_t i = 0; i < len; i++)
-    configuration->service_names[i] = unpack_name (&names, configuration);
-  in->ok = in->ok && names.ok;
+    {
+      uint32_t fields_len;
+      struct hs_unpacker fields
+          = hs_unpack_array (&services, &fields_len, SERVICE_FIELDS);
+
+      configuration->services[i].name = unpack_name (&fields, configuration);
+      configuration->services[i].cold_flow_rate
+          = (uint32_t)hs_unpack_uint (&fields, UINT32_MAX);
+      services.ok = services.ok && fields.ok;
+    }
+  in->ok = in->ok && services.ok;
 }
 
 static void
@@ -217,12 +234,13 @@
               struct hs_service_route *route)
 {
   struct hs_unpacker splits;
+  struct hs_unpacker regions;
   uint32_t len;
 
   route->name = unpack_name (in, parent);
   hs_unpack_addr (in, &route->address);
   route->request_class
-      = (enum hs_request_class)hs_unpack_uint (in, HS_REQUEST_CLASS_UPLOAD);
+      = (enum hs_request_class)hs_unpack_uint (in, HS_REQUEST_CLASS_DOWNLOAD);
   route->timeout_ms = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
   route->slo_ms = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
   route->priority = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
@@ -235,7 +253,12 @@
       route->splits[i].service_name = unpack_name (&splits, parent);
       route->splits[i].weight = (uint32_t)hs_unpack_uint (&splits, UINT32_MAX);
     }
-  in->ok = in->ok && splits.ok;
+  regions = hs_unpack_array (in, &len, HS_ROUTE_REGIONS_MAX);
+  route->regions_len = len;
+  route->regions = talloc_array (parent, const char *, len);
+  for (uint32_t i = 0; i < len; i++)
+    route->regions[i] = unpack_name (&regions, parent);
+  in->ok = in->ok && splits.ok && regions.ok;
 }
 
 static const char *
--- a/src/wire/inner.c
+++ b/src/wire/inner.c
@@ -11,14 +11,16 @@
 #define FIXARRAY 0x90
 #define FIXARRAY_MASK 0xf0
 #define ADDR_FIELDS 2 /* IP and port.  */
+#define LOAD_FIELDS 7 /* Of the load in a LOAD_REPORT.  */
 
 /* Elements of the array of each type, including the type itself.  */
 static const uint8_t field_counts[HS_INNER_TYPE_COUNT] = {
-  [HS_INNER_FORWARD] = 6,      [HS_INNER_REFUSED_SYN] = 6,
-  [HS_INNER_OWNERSHIP] = 7,    [HS_INNER_LOAD_REPORT] = 15,
-  [HS_INNER_HEARTBEAT] = 10,   [HS_INNER_STATUS] = 6,
+  [HS_INNER_FORWARD] = 7,      [HS_INNER_REFUSED_SYN] = 7,
+  [HS_INNER_OWNERSHIP] = 7,    [HS_INNER_LOAD_REPORT] = 11,
+  [HS_INNER_HEARTBEAT] = 11,   [HS_INNER_STATUS] = 6,
   [HS_INNER_FETCH] = 4,        [HS_INNER_CHUNK] = 6,
   [HS_INNER_LOOKUP_QUERY] = 8, [HS_INNER_LOAD_QUERY] = 3,
+  [HS_INNER_EVACUATIONS] = 3,
 };
 
 /* Private functions.  */
@@ -32,6 +34,8 @@
                         const struct hs_inner_addrs *addrs);
 static void pack_chunk (msgpack_packer *out,
                         const struct hs_inner_chunk *chunk);
+static void pack_evacuations (msgpack_packer *out,
+                              const struct hs_evacuations *evacuations);
 static void pack_lookup_query (msgpack_packer *out,
                                const struct hs_segment *segment);
 static void unpack_body (struct hs_unpacker *in, struct hs_inner *inner);
@@ -43,6 +47,8 @@
                           struct hs_inner_addrs *addrs);
 static void unpack_chunk (struct hs_unpacker *in,
                           struct hs_inner_chunk *chunk);
+static void unpack_evacuations (struct hs_unpacker *in,
+                                struct hs_evacuations *evacuations);
 static void unpack_lookup_query (struct hs_unpacker *in,
                                  struct hs_segment *segment);
 
@@ -104,6 +110,7 @@
       msgpack_pack_uint64 (out, inner->segment_header.service_id);
       msgpack_pack_uint64 (out, inner->segment_header.agent_id);
       msgpack_pack_uint32 (out, inner->segment_header.wait_max_ms);
+      msgpack_pack_uint32 (out, inner->segment_header.cold_flow_rate);
       msgpack_pack_uint8 (out, inner->segment_header.owner_only);
       msgpack_pack_uint8 (out, (uint8_t)inner->segment_header.reason);
       break;
@@ -141,6 +148,9 @@
       msgpack_pack_uint64 (out, inner->load_query.configuration_version);
       msgpack_pack_uint32 (out, inner->load_query.flow_idle_ms);
       break;
+    case HS_INNER_EVACUATIONS:
+      pack_evacuations (out, &inner->evacuations);
+      break;
     case HS_INNER_NONE:
     case HS_INNER_REPLICA:
     case HS_INNER_TYPE_COUNT:
@@ -157,11 +167,14 @@
   msgpack_pack_uint64 (out, report->service_id);
   hs_pack_addr (out, &report->address);
   msgpack_pack_uint8 (out, (uint8_t)report->state);
+  msgpack_pack_array (out, LOAD_FIELDS);
   msgpack_pack_uint32 (out, report->slots);
   msgpack_pack_uint32 (out, report->requests_in_progress);
   msgpack_pack_uint32 (out, report->open_flows);
   msgpack_pack_uint32 (out, report->cold_ms);
+  msgpack_pack_uint32 (out, report->cold_room);
   msgpack_pack_uint32 (out, report->mean_work_us);
+  msgpack_pack_uint32 (out, report->work_left_us);
   msgpack_pack_uint8 (out, report->no_upstream);
   hs_pack_text (out, report->zone);
 }
@@ -174,6 +187,7 @@
   msgpack_pack_uint64 (out, heartbeat->node_id);
   msgpack_pack_uint64 (out, heartbeat->incarnation);
   msgpack_pack_uint64 (out, heartbeat->configuration_version);
+  msgpack_pack_uint64 (out, heartbeat->evacuation_revision);
   msgpack_pack_uint8 (out, heartbeat->wants_agents);
   hs_pack_addr (out, &heartbeat->address);
   hs_pack_text (out, heartbeat->name);
@@ -199,6 +213,16 @@
   msgpack_pack_bin_body (out, chunk->bytes, chunk->len);
 }
 
+static void
+pack_evacuations (msgpack_packer *out,
+                  const struct hs_evacuations *evacuations)
+{
+  msgpack_pack_uint64 (out, evacuations->revision);
+  msgpack_pack_array (out, evacuations->len);
+  for (size_t i = 0; i < evacuations->len; i++)
+    hs_pack_text (out, evacuations->zones[i]);
+}
+
 static void
 pack_lookup_query (msgpack_packer *out, const struct hs_segment *segment)
 {
@@ -220,6 +244,8 @@
       inner->segment_header.agent_id = hs_unpack_uint (in, UINT64_MAX);
       inner->segment_header.wait_max_ms
           = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
+      inner->segment_header.cold_flow_rate
+          = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
       inner->segment_header.owner_only = hs_unpack_uint (in, 1) != 0;
       inner->segment_header.reason
           = (enum hs_reason)hs_unpack_uint (in, HS_REASON_COUNT - 1);
@@ -261,6 +287,9 @@
       inner->load_query.flow_idle_ms
           = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
       break;
+    case HS_INNER_EVACUATIONS:
+      unpack_evacuations (in, &inner->evacuations);
+      break;
     case HS_INNER_NONE:
     case HS_INNER_REPLICA:
     case HS_INNER_TYPE_COUNT:
@@ -272,6 +301,9 @@
 static void
 unpack_load_report (struct hs_unpacker *in, struct hs_load_report *report)
 {
+  struct hs_unpacker load;
+  uint32_t load_len;
+
   report->agent_id = hs_unpack_uint (in, UINT64_MAX);
   report->incarnation = hs_unpack_uint (in, UINT64_MAX);
   report->seq = hs_unpack_uint (in, UINT64_MAX);
@@ -279,11 +311,15 @@
   hs_unpack_addr (in, &report->address);
   report->state
       = (enum hs_agent_state)hs_unpack_uint (in, HS_AGENT_UPSTREAM_SILENT);
-  report->slots = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
-  report->requests_in_progress = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
-  report->open_flows = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
-  report->cold_ms = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
-  report->mean_work_us = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
+  load = hs_unpack_array (in, &load_len, LOAD_FIELDS);
+  report->slots = (uint32_t)hs_unpack_uint (&load, UINT32_MAX);
+  report->requests_in_progress = (uint32_t)hs_unpack_uint (&load, UINT32_MAX);
+  report->open_flows = (uint32_t)hs_unpack_uint (&load, UINT32_MAX);
+  report->cold_ms = (uint32_t)hs_unpack_uint (&load, UINT32_MAX);
+  report->cold_room = (uint32_t)hs_unpack_uint (&load, UINT32_MAX);
+  report->mean_work_us = (uint32_t)hs_unpack_uint (&load, UINT32_MAX);
+  report->work_left_us = (uint32_t)hs_unpack_uint (&load, UINT32_MAX);
+  in->ok = in->ok && load.ok;
   report->no_upstream = hs_unpack_uint (in, 1) != 0;
   hs_unpack_text (in, report->zone, sizeof report->zone);
 }
@@ -295,6 +331,7 @@
   heartbeat->node_id = hs_unpack_uint (in, UINT64_MAX);
   heartbeat->incarnation = hs_unpack_uint (in, UINT64_MAX);
   heartbeat->configuration_version = hs_unpack_uint (in, UINT64_MAX);
+  heartbeat->evacuation_revision = hs_unpack_uint (in, UINT64_MAX);
   heartbeat->wants_agents = hs_unpack_uint (in, 1) != 0;
   hs_unpack_addr (in, &heartbeat->address);
   hs_unpack_text (in, heartbeat->name, sizeof heartbeat->name);
@@ -325,6 +362,20 @@
       = (uint32_t)hs_unpack_bin (in, chunk->bytes, HS_INNER_CHUNK_SIZE_MAX);
 }
 
+static void
+unpack_evacuations (struct hs_unpacker *in, struct hs_evacuations *evacuations)
+{
+  uint32_t len;
+  struct hs_unpacker zones;
+
+  evacuations->revision = hs_unpack_uint (in, UINT64_MAX);
+  zones = hs_unpack_array (in, &len, HS_EVACUATED_ZONES_MAX);
+  evacuations->len = len;
+  for (uint32_t i = 0; i < len; i++)
+    hs_unpack_text (&zones, evacuations->zones[i], HS_NAME_SIZE);
+  in->ok = in->ok && zones.ok;
+}
+
 static void
 unpack_lookup_query (struct hs_unpacker *in, struct hs_segment *segment)
 {
--- a/src/wire/inner.h
+++ b/src/wire/inner.h
@@ -33,16 +33,20 @@
   HS_INNER_REPLICA,      /* Between control hosts: see replica_message.h.  */
   HS_INNER_LOOKUP_QUERY, /* Entry to agent: does it own the flow?  */
   HS_INNER_LOAD_QUERY,   /* Entry to agent: requests a LOAD_REPORT.  */
+  HS_INNER_EVACUATIONS,  /* Control to entry or agent: the zones that are
+                            evacuated.  */
   HS_INNER_TYPE_COUNT
 };
 
 struct hs_inner_segment_header
 {
-  uint64_t service_id;   /* FORWARD: the service that the flow is meant
-                            for.  */
-  uint64_t agent_id;     /* FORWARD: the receiver; REFUSED_SYN: the sender.  */
-  uint32_t wait_max_ms;  /* FORWARD of a SYN: refused if its request would wait
-                            longer for a slot; 0: no limit.  */
+  uint64_t service_id;  /* FORWARD: the service that the flow is meant
+                           for.  */
+  uint64_t agent_id;    /* FORWARD: the receiver; REFUSED_SYN: the sender.  */
+  uint32_t wait_max_ms; /* FORWARD of a SYN: refused if its request would wait
+                           longer for a slot; 0: no limit.  */
+  uint32_t cold_flow_rate; /* FORWARD of a SYN: new flows in 1,000 s that the
+                              upstream bears while it is cold; 0: no limit.  */
   bool owner_only;       /* FORWARD: only the owner of the flow accepts it.  */
   enum hs_reason reason; /* REFUSED_SYN  */
 };
@@ -61,6 +65,7 @@
   uint64_t node_id; /* hs_id_from_name of the name.  */
   uint64_t incarnation;
   uint64_t configuration_version; /* In force at the sender.  */
+  uint64_t evacuation_revision;   /* On which the sender acts.  */
   bool wants_agents;              /* Entry: requests the list of agents.  */
   struct hs_addr address;
   char name[HS_NAME_SIZE];
@@ -117,6 +122,7 @@
     struct hs_inner_load_query load_query;
     struct hs_inner_heartbeat heartbeat;
     struct hs_inner_status status;
+    struct hs_evacuations evacuations;
     struct hs_inner_chunk chunk; /* CHUNK; FETCH sends version, base_version
                                     and offset.  */
   };
--- a/tests/fakes/herd.c
+++ b/tests/fakes/herd.c
@@ -501,12 +501,12 @@
           .priority = 1,
           .splits_len = 1,
           .splits = &split };
-  const char *service = SERVICE;
+  struct hs_configured_service service = { .name = SERVICE };
   struct hs_configuration configuration = { .version = 1,
                                             .routes_len = 1,
                                             .routes = &route,
                                             .services_len = 1,
-                                            .service_names = &service,
+                                            .services = &service,
                                             .flow_idle_ms = 15000 };
 
   return hs_routing_create (parent, &configuration);
--- a/tests/test_inner.c
+++ b/tests/test_inner.c
@@ -15,7 +15,7 @@
 
 #define MUTATIONS 100000
 #define DATA_SIZE 4096
-#define SAMPLES 14
+#define SAMPLES 15
 
 struct sample
 {
@@ -44,6 +44,7 @@
           = (struct hs_inner_segment_header){ .service_id = UINT64_MAX,
                                               .agent_id = 7,
                                               .wait_max_ms = 150,
+                                              .cold_flow_rate = 7500,
                                               .owner_only = true,
                                               .reason = HS_REASON_SHED };
       break;
@@ -71,9 +72,16 @@
                                                    .open_flows = 8,
                                                    .cold_ms = 9,
                                                    .mean_work_us = 10,
+                                                   .work_left_us = 11,
+                                                   .cold_room = 12,
                                                    .no_upstream = true,
                                                    .zone = "sic-ragusa" };
       break;
+    case HS_INNER_EVACUATIONS:
+      inner.evacuations = (struct hs_evacuations){
+        .revision = 7, .len = 2, .zones = { "sic-ragusa", "sic-catania" }
+      };
+      break;
     case HS_INNER_HEARTBEAT:
       inner.heartbeat
           = (struct hs_inner_heartbeat){ .role = HS_ROLE_ENTRY,
@@ -135,9 +143,11 @@
   configuration->version = 42;
   configuration->flow_idle_ms = 15000;
   configuration->services_len = 2;
-  configuration->service_names = talloc_array (configuration, const char *, 2);
-  configuration->service_names[0] = "alpha";
-  configuration->service_names[1] = "beta";
+  configuration->services
+      = talloc_zero_array (configuration, struct hs_configured_service, 2);
+  configuration->services[0].name = "alpha";
+  configuration->services[1].name = "beta";
+  configuration->services[1].cold_flow_rate = 2500;
   configuration->routes_len = routes;
   configuration->routes
       = talloc_zero_array (configuration, struct hs_service_route, routes);
@@ -156,6 +166,9 @@
           = talloc_zero_array (configuration, struct hs_traffic_split, 2);
       route->splits[0] = (struct hs_traffic_split){ "alpha", 90 };
       route->splits[1] = (struct hs_traffic_split){ "beta", 10 };
+      route->regions_len = 1;
+      route->regions = talloc_array (configuration, const char *, 1);
+      route->regions[0] = "sicilia";
     }
   return configuration;
 }
