Evacuate availability zones by order of the operators

Nodes learn the set by their heartbeats and a notification. Entries place no flow and no copy of a SYN in an evacuated zone, agents there refuse every SYN, open flows stay. The load poller of an entry in such a zone asks the agents of other zones instead.

The agent's counter flows_opened_total was never incremented; it is now, since the end-to-end test compares it.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -1170,6 +1170,7 @@
                                    none.  */
   uint32_t placed_flows;        /* Flows placed here since the report.  */
   bool is_same_zone;            /* In the entry's availability zone.  */
+  bool is_evacuated;            /* Its availability zone is evacuated.  */
 };
 
 struct hs_agent_pool;
@@ -1184,6 +1185,15 @@
 bool hs_agent_pool_update (struct hs_agent_pool *pool,
                            const struct hs_load_report *report, uint64_t now);
 
+/* EVACUATIONS are copied: agents in these zones accept no flows.  */
+void hs_agent_pool_set_evacuations (struct hs_agent_pool *pool,
+                                    const struct hs_evacuations *evacuations);
+
+/* Returns whether the agents of a service accept no flows only because their
+   zones are evacuated.  */
+bool hs_agent_pool_is_evacuated (const struct hs_agent_pool *pool,
+                                 uint64_t service_id, uint64_t now);
+
 /* Records that the agent has been sent a load query.  An unknown agent is
    ignored.  */
 void hs_agent_pool_mark_queried (struct hs_agent_pool *pool, uint64_t agent_id,
@@ -1201,8 +1211,8 @@
 const struct hs_pool_agent *
 hs_agent_pool_find (const struct hs_agent_pool *pool, uint64_t agent_id);
 
-/* Returns whether AGENT is ready and has left no load query unanswered for
-   HS_ANSWER_TIMEOUT_MS.  */
+/* Returns whether AGENT is ready, has left no load query unanswered for
+   HS_ANSWER_TIMEOUT_MS, and is not in an evacuated zone.  */
 bool hs_pool_agent_accepts_flows (const struct hs_pool_agent *agent,
                                   uint64_t now);
 
@@ -1692,6 +1702,11 @@
    continue.  */
 void hs_sidecar_drain (struct hs_sidecar *sidecar);
 
+/* EVACUATED: the availability zone of this host is evacuated, and every SYN is
+   refused.  */
+void hs_sidecar_set_evacuated (struct hs_sidecar *sidecar, bool evacuated,
+                               uint64_t now);
+
 /* Decides on SEGMENT of a caller, which ENTRY has sent.  SERVICE_ID: the
    service that the entry names; a SYN for another service is refused.
    WAIT_MAX_MS: a SYN is refused if its request would wait longer for a slot;
--- a/src/adapter/adapter.h
+++ b/src/adapter/adapter.h
@@ -19,8 +19,11 @@
   HS_OPERATION_LEAVE,     /* An upstream reports that it stops.  */
   HS_OPERATION_REPLACE_CONFIGURATION, /* Replaces the whole configuration.  */
   HS_OPERATION_GET_CONFIGURATION, /* Returns the configuration in force.  */
-  HS_OPERATION_GROUP_STATUS       /* Returns the state of the control group, as
+  HS_OPERATION_GROUP_STATUS,      /* Returns the state of the control group, as
                                        this host sees it.  */
+  HS_OPERATION_START_EVACUATION,  /* No new flows to a zone's upstreams.  */
+  HS_OPERATION_FINISH_EVACUATION, /* Ends that.  */
+  HS_OPERATION_LIST_EVACUATIONS   /* Returns the evacuated zones.  */
 };
 
 struct hs_adapter
@@ -42,7 +45,8 @@
 
   /* Returns the operation that the HTTP request METHOD PATH calls.  For
      HS_OPERATION_HEARTBEAT and HS_OPERATION_LEAVE the upstream's id is
-     copied to ID, which has room for HS_NAME_SIZE bytes.  */
+     copied to ID, for the evacuations the zone's name; ID has room for
+     HS_NAME_SIZE bytes.  */
   enum hs_operation (*decode_operation) (void *ctx, const char *method,
                                          const char *path, char *id);
 
--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -55,6 +55,7 @@
   struct hs_counter *requests_in_progress;
   struct hs_counter *open_flows;
   struct hs_counter *state;
+  struct hs_counter *evacuated;
   struct hs_histogram *response_ms;
 };
 
@@ -98,6 +99,8 @@
 static bool on_configuration (void *ctx, uint64_t base_version,
                               const uint8_t *bytes, size_t len);
 static void on_agents_changed (void *ctx);
+static void on_evacuations_changed (void *ctx,
+                                    const struct hs_evacuations *evacuations);
 static void on_tick (void *ctx, uint64_t now);
 static void on_drain (void *ctx, uint64_t now);
 static void execute_decision (struct hs_segment_agent *agent,
@@ -222,6 +225,8 @@
       = hs_gauge_create (set, "flows", "Open flows of the upstream.");
   metrics->state = hs_gauge_create (
       set, "state", "State: 0 ready, 1 draining, 2 upstream silent.");
+  metrics->evacuated = hs_gauge_create (
+      set, "evacuated", "1 if the availability zone is evacuated, else 0.");
   metrics->response_ms = hs_histogram_create (
       set, "answer_ms",
       "Time from a request to the start of its response, ms.");
@@ -242,9 +247,13 @@
           .seed_port = settings->seed_port,
           .batches = POOL_BATCHES,
           .adapter = settings->adapter };
-  struct hs_segment_node_ops node_ops
-      = { on_upstream_packet, on_inner_message, on_configuration,
-          on_agents_changed,  on_tick,          on_drain };
+  struct hs_segment_node_ops node_ops = { on_upstream_packet,
+                                          on_inner_message,
+                                          on_configuration,
+                                          on_agents_changed,
+                                          on_evacuations_changed,
+                                          on_tick,
+                                          on_drain };
   struct hs_sidecar_ops sidecar_ops = { on_flow_lost };
   uint64_t flow_lifetime_ms = (uint64_t)(settings->flow_lifetime_s * 1000);
   struct hs_worker *worker;
@@ -466,6 +475,16 @@
   (void)ctx;
 }
 
+static void
+on_evacuations_changed (void *ctx, const struct hs_evacuations *evacuations)
+{
+  struct hs_segment_agent *agent = ctx;
+  bool evacuated = hs_evacuations_contain (evacuations, agent->settings.zone);
+
+  hs_sidecar_set_evacuated (agent->sidecar, evacuated, hs_clock_monotonic ());
+  hs_counter_set (agent->metrics.evacuated, evacuated);
+}
+
 static void
 on_tick (void *ctx, uint64_t now)
 {
@@ -526,6 +545,7 @@
       packet->peer = agent->settings.upstream_address;
       packet->fd = agent->outbound_fd;
       hs_counter_add (agent->metrics.delivered, 1);
+      hs_counter_add (agent->metrics.flows_opened, decision->is_new_flow);
       break;
     case HS_SIDECAR_TO_CALLER:
       if (decision->starts_response)
--- a/src/control/group.c
+++ b/src/control/group.c
@@ -171,6 +171,10 @@
                                       "Configurations returned to operators.");
   metrics->heartbeats = hs_counter_create (
       set, "syncs_total", "Heartbeats received from entries and agents.");
+  metrics->orders = hs_counter_create (set, "evacuation_orders_total",
+                                       "Evacuation orders acknowledged.");
+  metrics->evacuated_zones = hs_gauge_create (
+      set, "evacuated_zones", "Availability zones that are evacuated.");
   metrics->malformed = hs_counter_create (
       set, "malformed_total", "Datagrams dropped because they do not decode.");
   metrics->term
@@ -406,6 +410,7 @@
 
   hs_group_answer_pending (group, now);
   hs_group_notify_nodes (group, now);
+  hs_group_notify_evacuations (group);
   hs_counter_set (group->metrics.term, hs_replica_term (group->replica));
   hs_counter_set (group->metrics.is_leader,
                   hs_replica_is_leader (group->replica));
--- a/src/control/group_api.c
+++ b/src/control/group_api.c
@@ -32,8 +32,12 @@
   { "PUT", "/v1/configuration", HS_OPERATION_REPLACE_CONFIGURATION },
   { "GET", "/v1/configuration", HS_OPERATION_GET_CONFIGURATION },
   { "GET", "/v1/cluster", HS_OPERATION_GROUP_STATUS },
+  { "GET", "/v1/evacuations", HS_OPERATION_LIST_EVACUATIONS },
 };
 
+#define EVACUATIONS_PREFIX "/v1/evacuations/"
+#define REVISION_PARAMETER "revision"
+
 struct hs_group_api
 {
   struct hs_http *http;
@@ -54,6 +58,10 @@
                         enum hs_operation operation, decode_fn *decode);
 static bool decode_body (struct hs_group_api *api, struct hs_group_call *call,
                          decode_fn *decode);
+static void start_order (struct hs_group_api *api,
+                         struct hs_http_request *request,
+                         enum hs_operation operation, const char *zone);
+static bool decode_order (struct hs_group_call *call, const char *zone);
 static enum hs_operation
 find_native_operation (const struct hs_http_request *request);
 static void send_answer (struct hs_http_request *request, unsigned int status,
@@ -121,10 +129,13 @@
 {
   char text[HS_ADDR_TEXT_SIZE];
   char location[LOCATION_SIZE];
+  const char *revision = hs_http_query (call->request, REVISION_PARAMETER);
 
   hs_addr_format (to, text);
-  g_snprintf (location, sizeof location, "http://%s%s", text,
-              hs_http_path (call->request));
+  g_snprintf (location, sizeof location, "http://%s%s%s%s", text,
+              hs_http_path (call->request),
+              revision != NULL ? "?" REVISION_PARAMETER "=" : "",
+              revision != NULL ? revision : "");
   hs_http_redirect (call->request, location);
   talloc_free (call);
 }
@@ -142,6 +153,13 @@
   if (hs_admin_handle (api->admin, request))
     return;
   operation = find_native_operation (request);
+  if (operation == HS_OPERATION_START_EVACUATION
+      || operation == HS_OPERATION_FINISH_EVACUATION)
+    {
+      start_order (api, request, operation,
+                   hs_http_path (request) + strlen (EVACUATIONS_PREFIX));
+      return;
+    }
   if (operation != HS_OPERATION_UNKNOWN)
     {
       start_call (api, request, operation, decode_native);
@@ -152,11 +170,14 @@
   if (operation == HS_OPERATION_REPLACE_CONFIGURATION
       || operation == HS_OPERATION_GET_CONFIGURATION)
     start_call (api, request, operation, adapter->decode_configuration);
+  else if (operation == HS_OPERATION_START_EVACUATION
+           || operation == HS_OPERATION_FINISH_EVACUATION)
+    start_order (api, request, operation, id);
   else
     send_answer (request, STATUS_NOT_FOUND, HS_OUTCOME_NOT_RUN,
                  "unknown operation: expected PUT or GET /v1/configuration, "
-                 "GET /v1/cluster, or PUT or GET of the configuration in the "
-                 "format of the platform");
+                 "GET /v1/cluster, GET /v1/evacuations, PUT or DELETE "
+                 "/v1/evacuations/ZONE, or an operation of the platform");
 }
 
 static enum hs_operation
@@ -166,6 +187,14 @@
     if (strcmp (native_operations[i].method, hs_http_method (request)) == 0
         && strcmp (native_operations[i].path, hs_http_path (request)) == 0)
       return native_operations[i].operation;
+  if (strncmp (hs_http_path (request), EVACUATIONS_PREFIX,
+               strlen (EVACUATIONS_PREFIX))
+      != 0)
+    return HS_OPERATION_UNKNOWN;
+  if (strcmp (hs_http_method (request), "PUT") == 0)
+    return HS_OPERATION_START_EVACUATION;
+  if (strcmp (hs_http_method (request), "DELETE") == 0)
+    return HS_OPERATION_FINISH_EVACUATION;
   return HS_OPERATION_UNKNOWN;
 }
 
@@ -221,6 +250,50 @@
   return false;
 }
 
+static void
+start_order (struct hs_group_api *api, struct hs_http_request *request,
+             enum hs_operation operation, const char *zone)
+{
+  struct hs_group_call *call = talloc_zero (NULL, struct hs_group_call);
+
+  call->request = request;
+  call->operation = operation;
+  call->received_at = hs_clock_monotonic ();
+  if (!decode_order (call, zone))
+    return;
+  if (!api->fn (api->ctx, call))
+    hs_group_call_answer (call, STATUS_UNAVAILABLE, HS_OUTCOME_NOT_RUN,
+                          "call queue is full");
+}
+
+/* Fills the order of CALL.  Returns false if it has answered and freed
+   CALL.  */
+static bool
+decode_order (struct hs_group_call *call, const char *zone)
+{
+  const char *revision = hs_http_query (call->request, REVISION_PARAMETER);
+  size_t body_len;
+  guint64 number = 0;
+
+  hs_http_body (call->request, &body_len);
+  if (!hs_name_is_valid (zone) || body_len > 0
+      || (revision != NULL
+          && !g_ascii_string_to_unsigned (revision, 10, 0, G_MAXUINT64,
+                                          &number, NULL)))
+    {
+      hs_group_call_answer (call, STATUS_BAD_REQUEST, HS_OUTCOME_NOT_RUN,
+                            "bad evacuation order: expected the name of a "
+                            "zone, no body and, if at all, a number as the "
+                            "revision");
+      return false;
+    }
+  call->order.start = call->operation == HS_OPERATION_START_EVACUATION;
+  g_strlcpy (call->order.zone, zone, HS_NAME_SIZE);
+  call->order.is_conditional = revision != NULL;
+  call->order.base_revision = number;
+  return true;
+}
+
 static void
 send_answer (struct hs_http_request *request, unsigned int status,
              enum hs_outcome outcome, const char *message)
--- a/src/control/group_api.h
+++ b/src/control/group_api.h
@@ -17,17 +17,21 @@
 {
   struct hs_list link;
   struct hs_http_request *request;
-  enum hs_operation operation; /* REPLACE_CONFIGURATION, GET_CONFIGURATION or
-                                  GROUP_STATUS  */
+  enum hs_operation operation;
   struct hs_configuration *configuration; /* REPLACE_CONFIGURATION: valid; a
                                              talloc child of the call.  */
-  uint64_t received_at;                   /* ms, monotonic clock  */
-  uint64_t log_index;  /* REPLACE_CONFIGURATION: index up to which the log
-                          must be applied before the answer.  */
+  struct hs_evacuation_order order;       /* START_ and FINISH_EVACUATION  */
+  unsigned int order_status; /* The same: HTTP status of its outcome; 0:
+                                not applied yet.  */
+  char *order_error;         /* The same: why it was refused, a talloc
+                                child of the call.  */
+  uint64_t received_at;      /* ms, monotonic clock  */
+  uint64_t log_index;  /* Changes: index up to which the log must be applied
+                          before the answer.  */
   uint64_t term;       /* Term in which this host, as the leader, received
                           the call.  */
-  uint64_t read_round; /* GET_CONFIGURATION: read round that must be
-                          confirmed before the answer.  */
+  uint64_t read_round; /* Reads: read round that must be confirmed before the
+                          answer.  */
 };
 
 /* Called on the HTTP server's thread.  Returns true if it took ownership of
--- a/src/control/group_calls.c
+++ b/src/control/group_calls.c
@@ -1,5 +1,6 @@
 /* group_calls.c -- calls of operators.  The leader replaces and returns the
-   configuration; the other hosts redirect such calls to the leader.  Any host
+   configuration, and carries out and lists evacuations; the other hosts
+   redirect such calls to the leader.  Any host
    returns the status of the group.  */
 
 #include "base/auto.h"
@@ -16,6 +17,7 @@
 
 /* Private functions.  */
 
+static bool is_read (const struct hs_group_call *call);
 static void start_replace (struct hs_group *group, struct hs_group_call *call,
                            uint64_t now);
 static uint64_t propose (struct hs_group *group,
@@ -66,8 +68,10 @@
     }
   call->term = hs_replica_term (group->replica);
   hs_list_append (&group->pending_calls, &call->link);
-  if (call->operation == HS_OPERATION_GET_CONFIGURATION)
+  if (is_read (call))
     call->read_round = hs_replica_begin_read (group->replica, now);
+  else if (call->configuration == NULL)
+    hs_group_start_order (group, call, now);
   else
     start_replace (group, call, now);
 }
@@ -89,6 +93,13 @@
 
 /* Private definitions.  */
 
+static bool
+is_read (const struct hs_group_call *call)
+{
+  return call->operation == HS_OPERATION_GET_CONFIGURATION
+         || call->operation == HS_OPERATION_LIST_EVACUATIONS;
+}
+
 /* A version that is not higher than the newest one in the log changes
    nothing: the call is answered once all entries that are in the log now have
    been applied.  */
@@ -154,7 +165,7 @@
 static bool
 is_confirmed (const struct hs_group *group, const struct hs_group_call *call)
 {
-  if (call->operation == HS_OPERATION_GET_CONFIGURATION)
+  if (is_read (call))
     return hs_replica_confirmed_round (group->replica) >= call->read_round;
   return hs_replica_applied_index (group->replica) >= call->log_index;
 }
@@ -180,6 +191,16 @@
       answer_get (group, call);
       return;
     }
+  if (call->operation == HS_OPERATION_LIST_EVACUATIONS)
+    {
+      hs_group_answer_evacuations (group, call);
+      return;
+    }
+  if (call->configuration == NULL)
+    {
+      hs_group_answer_order (group, call, now);
+      return;
+    }
   hs_counter_add (group->metrics.accepted, 1);
   hs_histogram_observe (group->metrics.acknowledge_ms,
                         now - call->received_at);
--- a/src/control/group_nodes.c
+++ b/src/control/group_nodes.c
@@ -30,8 +30,6 @@
                          struct hs_inner *message);
 static void fill_status (struct hs_group *group,
                          struct hs_inner_status *status);
-static void send_inner (struct hs_group *group, const struct hs_addr *to,
-                        const struct hs_inner *inner);
 
 /* Public definitions.  */
 
@@ -58,7 +56,9 @@
   if (heartbeat->wants_agents)
     send_agents (group, from, &reply);
   else
-    send_inner (group, from, &reply);
+    hs_group_send_inner (group, from, &reply);
+  if (heartbeat->evacuation_revision < group->evacuations.revision)
+    hs_group_send_evacuations (group, from);
 }
 
 void
@@ -80,7 +80,7 @@
   else if (stored != NULL)
     fill_chunk (&reply.chunk, stored->encoded, stored->encoded_len,
                 request->offset);
-  send_inner (group, from, &reply);
+  hs_group_send_inner (group, from, &reply);
 }
 
 /* Drops all patches, which lead to the superseded version.  New ones are
@@ -135,6 +135,16 @@
                 "name", heartbeat->name, "zone", heartbeat->zone);
 }
 
+void
+hs_group_send_inner (struct hs_group *group, const struct hs_addr *to,
+                     const struct hs_inner *inner)
+{
+  uint8_t bytes[HS_INNER_SIZE_MAX];
+  size_t len = hs_inner_encode (inner, bytes);
+
+  hs_datagrams_send (group->datagrams, hs_datagram_create (to, bytes, len));
+}
+
 /* Private definitions.  */
 
 /* Returns the patch from BASE_VERSION to the current one, or NULL if
@@ -206,7 +216,7 @@
   struct hs_inner message = { .type = HS_INNER_STATUS };
 
   fill_status (group, &message.status);
-  send_inner (group, &heartbeat->address, &message);
+  hs_group_send_inner (group, &heartbeat->address, &message);
 }
 
 static void
@@ -217,7 +227,7 @@
 
   fill_status (group, &message.status);
   message.status.agents = group->new_agents;
-  send_inner (group, &heartbeat->address, &message);
+  hs_group_send_inner (group, &heartbeat->address, &message);
 }
 
 /* Sends MESSAGE, of type STATUS, with the list of agents, split into as many
@@ -233,7 +243,7 @@
   do
     {
       hs_node_table_list_agents (group->nodes, sent, &message->status.agents);
-      send_inner (group, to, message);
+      hs_group_send_inner (group, to, message);
       sent += message->status.agents.len;
     }
   while (sent < total);
@@ -252,13 +262,3 @@
   for (size_t i = 0; i < status->control_hosts.len; i++)
     status->control_hosts.values[i] = hosts[i].inner_address;
 }
-
-static void
-send_inner (struct hs_group *group, const struct hs_addr *to,
-            const struct hs_inner *inner)
-{
-  uint8_t bytes[HS_INNER_SIZE_MAX];
-  size_t len = hs_inner_encode (inner, bytes);
-
-  hs_datagrams_send (group->datagrams, hs_datagram_create (to, bytes, len));
-}
--- a/src/control/group_state.h
+++ b/src/control/group_state.h
@@ -10,6 +10,7 @@
 #include "control/journal_writer.h"
 #include "control/node_table.h"
 #include "daemon/datagrams.h"
+#include "wire/group_command.h"
 #include "wire/replica_message.h"
 
 #define STATUS_OK 200
@@ -24,6 +25,8 @@
   struct hs_counter *unavailable;
   struct hs_counter *reads;
   struct hs_counter *heartbeats;
+  struct hs_counter *orders;
+  struct hs_counter *evacuated_zones;
   struct hs_counter *malformed;
   struct hs_counter *term;
   struct hs_counter *is_leader;
@@ -89,8 +92,11 @@
                                 in the log.  */
   struct hs_stored_configuration *current; /* In force; NULL: none yet.  */
   struct hs_group_patch history[HS_GROUP_HISTORY_MAX]; /* Newest first.  */
-  uint64_t notified_version; /* Newest version that entries were notified
-                                of.  */
+  struct hs_evacuations evacuations;                   /* In force.  */
+  uint64_t notified_evacuations; /* Newest revision that nodes were notified
+                                    of.  */
+  uint64_t notified_version;     /* Newest version that entries were notified
+                                    of.  */
   struct hs_inner_addrs new_agents; /* Agents that the entries have not been
                                        notified of yet; once it is full, the
                                        entries find out by the digest.  */
@@ -109,6 +115,8 @@
    history, which takes ownership of it.  */
 void hs_group_push_history (struct hs_group *group,
                             struct hs_stored_configuration *stored);
+void hs_group_send_inner (struct hs_group *group, const struct hs_addr *to,
+                          const struct hs_inner *inner);
 void hs_group_notify_nodes (struct hs_group *group, uint64_t now);
 void hs_group_on_node_expired (void *ctx,
                                const struct hs_inner_heartbeat *heartbeat);
@@ -118,6 +126,34 @@
 void hs_group_on_call (void *ctx, void *item);
 void hs_group_answer_pending (struct hs_group *group, uint64_t now);
 
+/* group_evacuations.c: evacuation orders.  */
+
+/* Appends the order of CALL, which is pending, to the log.  */
+void hs_group_start_order (struct hs_group *group, struct hs_group_call *call,
+                           uint64_t now);
+
+/* Carries out ORDER, whose log entry at INDEX is committed, and records the
+   outcome in the pending call that proposed it, if there is one.  */
+void hs_group_apply_order (struct hs_group *group,
+                           const struct hs_evacuation_order *order,
+                           uint64_t index);
+
+/* Answers CALL, whose log entry was applied.  */
+void hs_group_answer_order (struct hs_group *group, struct hs_group_call *call,
+                            uint64_t now);
+
+/* Answers CALL with the evacuated zones and the nodes that act on an older
+   revision.  */
+void hs_group_answer_evacuations (struct hs_group *group,
+                                  struct hs_group_call *call);
+
+/* After a change, the leader notifies all nodes.  */
+void hs_group_notify_evacuations (struct hs_group *group);
+
+/* Sends the evacuated zones to TO.  */
+void hs_group_send_evacuations (struct hs_group *group,
+                                const struct hs_addr *to);
+
 /* group_store.c: the replicated log on disk, and the configuration in
    force.  */
 
--- a/src/control/group_store.c
+++ b/src/control/group_store.c
@@ -15,8 +15,9 @@
 
 /* Private functions.  */
 
-static void set_current (struct hs_group *group, const uint8_t *data,
-                         size_t len);
+static void set_current (struct hs_group *group,
+                         struct hs_stored_configuration *stored);
+static void log_unreadable (struct hs_group *group, const GError *error);
 static void mark_disk_failed (struct hs_group *group, const char *message);
 
 /* Public definitions.  */
@@ -107,52 +108,61 @@
 hs_group_on_apply (void *ctx, const struct hs_replica_log_entry *entry)
 {
   struct hs_group *group = ctx;
-
-  set_current (group, entry->data, entry->len);
+  g_autoptr (GError) error = NULL;
+  HS_AUTO_TALLOC struct hs_group_command *command
+      = hs_group_command_decode (NULL, entry->data, entry->len, &error);
+
+  if (command == NULL)
+    log_unreadable (group, error);
+  else if (command->configuration != NULL)
+    set_current (group, command->configuration);
+  else
+    hs_group_apply_order (group, &command->order, entry->index);
 }
 
 void
 hs_group_on_restore_snapshot (void *ctx, const uint8_t *data, size_t len)
 {
   struct hs_group *group = ctx;
+  g_autoptr (GError) error = NULL;
+  HS_AUTO_TALLOC struct hs_group_snapshot *snapshot
+      = hs_group_snapshot_decode (NULL, data, len, &error);
 
-  set_current (group, data, len);
+  if (snapshot == NULL)
+    {
+      log_unreadable (group, error);
+      return;
+    }
+  if (snapshot->configuration != NULL)
+    set_current (group, snapshot->configuration);
+  hs_evacuations_update (&group->evacuations, &snapshot->evacuations);
+  hs_counter_set (group->metrics.evacuated_zones, group->evacuations.len);
 }
 
 uint8_t *
 hs_group_on_save_snapshot (void *ctx, void *parent, size_t *len)
 {
   struct hs_group *group = ctx;
+  struct hs_group_snapshot snapshot
+      = { .configuration = group->current, .evacuations = group->evacuations };
 
   *len = 0;
-  if (group->current == NULL)
+  if (group->current == NULL && group->evacuations.revision == 0)
     return NULL;
-  return hs_stored_configuration_encode (parent, group->current, len);
+  return hs_group_snapshot_encode (parent, &snapshot, len);
 }
 
 /* Private definitions.  */
 
+/* Takes ownership of STORED if its version is higher than that in force.  */
 static void
-set_current (struct hs_group *group, const uint8_t *data, size_t len)
+set_current (struct hs_group *group, struct hs_stored_configuration *stored)
 {
-  g_autoptr (GError) error = NULL;
-  struct hs_stored_configuration *stored = hs_stored_configuration_decode (
-      group->decision_worker, data, len, &error);
-
-  if (stored == NULL)
-    {
-      hs_log_write (group->log, HS_LOG_ERROR, "configuration-unreadable",
-                    "{s:s}", "error", error->message);
-      return;
-    }
   if (group->current != NULL && stored->version <= group->current->version)
-    {
-      talloc_free (stored);
-      return;
-    }
+    return;
   if (group->current != NULL)
     hs_group_push_history (group, group->current);
-  group->current = stored;
+  group->current = talloc_steal (group->decision_worker, stored);
   if (stored->version > group->proposed_version)
     group->proposed_version = stored->version;
   hs_counter_set (group->metrics.configuration_version, stored->version);
@@ -161,6 +171,13 @@
                 (json_int_t)stored->encoded_len);
 }
 
+static void
+log_unreadable (struct hs_group *group, const GError *error)
+{
+  hs_log_write (group->log, HS_LOG_ERROR, "configuration-unreadable", "{s:s}",
+                "error", error->message);
+}
+
 static void
 mark_disk_failed (struct hs_group *group, const char *message)
 {
--- a/src/daemon/follower.c
+++ b/src/daemon/follower.c
@@ -90,6 +90,7 @@
   uint64_t mismatch_since;    /* ms; 0: it is the same.  */
   uint64_t list_requested_at; /* ms.  */
   uint64_t first_tick_at;     /* ms; 0: not yet.  */
+  struct hs_evacuations evacuations;
   struct fetch fetch;
   bool needs_whole; /* The last patch could not be applied: fetch the whole
                        configuration.  */
@@ -167,6 +168,14 @@
     handle_status (follower, from, &inner->status, now);
   else if (inner->type == HS_INNER_CHUNK)
     handle_chunk (follower, from, &inner->chunk);
+  else if (inner->type == HS_INNER_EVACUATIONS
+           && hs_evacuations_update (&follower->evacuations,
+                                     &inner->evacuations))
+    {
+      follower->self.evacuation_revision = follower->evacuations.revision;
+      follower->ops.evacuations_changed (follower->ctx,
+                                         &follower->evacuations);
+    }
 }
 
 void
--- a/src/daemon/follower.h
+++ b/src/daemon/follower.h
@@ -40,6 +40,10 @@
   /* Agents were added to or removed from hs_follower_agents.  */
   void (*agents_changed) (void *ctx);
 
+  /* Other availability zones are evacuated than before.  */
+  void (*evacuations_changed) (void *ctx,
+                               const struct hs_evacuations *evacuations);
+
   /* LOST is true once no control host has replied for a while, and false once
      one has replied again.  */
   void (*group_lost_changed) (void *ctx, bool lost);
@@ -59,7 +63,7 @@
 void hs_follower_set_seeds (struct hs_follower *follower,
                             const struct hs_addrs *seeds, uint16_t port);
 
-/* Handles a status or chunk; ignores other messages.  */
+/* Handles a status, chunk or list of evacuations; ignores other messages.  */
 void hs_follower_receive (struct hs_follower *follower,
                           const struct hs_addr *from,
                           const struct hs_inner *inner, uint64_t now);
--- a/src/daemon/segment_node.c
+++ b/src/daemon/segment_node.c
@@ -32,6 +32,8 @@
 static bool on_apply_configuration (void *ctx, uint64_t base_version,
                                     const uint8_t *bytes, size_t len);
 static void on_agents_changed (void *ctx);
+static void on_evacuations_changed (void *ctx,
+                                    const struct hs_evacuations *evacuations);
 static void on_group_lost_changed (void *ctx, bool lost);
 static void on_request (void *ctx, struct hs_http_request *request);
 
@@ -200,8 +202,9 @@
 static void
 create_follower (struct hs_segment_node *node)
 {
-  struct hs_follower_ops ops = { on_follower_send, on_apply_configuration,
-                                 on_agents_changed, on_group_lost_changed };
+  struct hs_follower_ops ops
+      = { on_follower_send, on_apply_configuration, on_agents_changed,
+          on_evacuations_changed, on_group_lost_changed };
   struct hs_inner_heartbeat self = { .role = node->settings.role,
                                      .node_id = node->node_id,
                                      .incarnation = node->incarnation,
@@ -269,7 +272,8 @@
       hs_counter_add (node->malformed, 1);
       return;
     }
-  if (inner.type == HS_INNER_STATUS || inner.type == HS_INNER_CHUNK)
+  if (inner.type == HS_INNER_STATUS || inner.type == HS_INNER_CHUNK
+      || inner.type == HS_INNER_EVACUATIONS)
     {
       hs_follower_receive (node->follower, &packet->peer, &inner, now);
       return;
@@ -349,6 +353,19 @@
   node->ops.agents_changed (node->ctx);
 }
 
+static void
+on_evacuations_changed (void *ctx, const struct hs_evacuations *evacuations)
+{
+  struct hs_segment_node *node = ctx;
+
+  hs_log_write (node->log, HS_LOG_INFO, "evacuations-in-force",
+                "{s:I, s:i, s:b}", "revision",
+                (json_int_t)evacuations->revision, "zones",
+                (int)evacuations->len, "own_zone",
+                hs_evacuations_contain (evacuations, node->settings.zone));
+  node->ops.evacuations_changed (node->ctx, evacuations);
+}
+
 static void
 on_group_lost_changed (void *ctx, bool lost)
 {
--- a/src/daemon/segment_node.h
+++ b/src/daemon/segment_node.h
@@ -41,6 +41,8 @@
   bool (*apply_configuration) (void *ctx, uint64_t base_version,
                                const uint8_t *bytes, size_t len);
   void (*agents_changed) (void *ctx);
+  void (*evacuations_changed) (void *ctx,
+                               const struct hs_evacuations *evacuations);
 
   /* Called every HS_SEGMENT_NODE_TICK_MS.  */
   void (*tick) (void *ctx, uint64_t now);
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -50,6 +50,7 @@
   struct hs_counter *load_reports;
   struct hs_counter *flows;
   struct hs_counter *configuration_version;
+  struct hs_counter *evacuated_zones;
   struct hs_histogram *report_age;
 };
 
@@ -131,6 +132,8 @@
                                size_t len, size_t *uncompressed_len,
                                GError **error);
 static void on_agents_changed (void *ctx);
+static void on_evacuations_changed (void *ctx,
+                                    const struct hs_evacuations *evacuations);
 static void on_query_load (void *ctx, const struct hs_addr *address);
 static void on_poll_due (void *ctx, uint64_t now);
 static void send_message (struct hs_segment_entry *entry,
@@ -196,8 +199,9 @@
           .batches = POOL_BATCHES,
           .adapter = settings->adapter };
   struct hs_segment_node_ops node_ops
-      = { on_caller_packet,  on_inner_message, on_configuration,
-          on_agents_changed, on_tick,          on_drain };
+      = { on_caller_packet,  on_inner_message,       on_configuration,
+          on_agents_changed, on_evacuations_changed, on_tick,
+          on_drain };
   struct hs_forwarder_ops forwarder_ops
       = { on_reset_caller, on_query_owner, on_send_pending, on_record_owner };
   struct hs_egress_ops egress_ops = { on_send_queued };
@@ -314,6 +318,8 @@
       "Age of the load report by which a flow was placed.");
   metrics->flows
       = hs_gauge_create (set, "flows", "Flows known to this entry.");
+  metrics->evacuated_zones = hs_gauge_create (
+      set, "evacuated_zones", "Availability zones that are evacuated.");
   metrics->configuration_version = hs_gauge_create (
       set, "configuration_version", "Version of the configuration in force.");
 }
@@ -618,6 +624,15 @@
   hs_load_poller_set_agents (entry->load_poller, agents->values, agents->len);
 }
 
+static void
+on_evacuations_changed (void *ctx, const struct hs_evacuations *evacuations)
+{
+  struct hs_segment_entry *entry = ctx;
+
+  hs_agent_pool_set_evacuations (entry->pool, evacuations);
+  hs_counter_set (entry->metrics.evacuated_zones, evacuations->len);
+}
+
 static void
 on_query_load (void *ctx, const struct hs_addr *address)
 {
--- a/src/segment/agent_pool.c
+++ b/src/segment/agent_pool.c
@@ -29,6 +29,7 @@
 struct hs_agent_pool
 {
   char zone[HS_NAME_SIZE];
+  struct hs_evacuations evacuations;
   struct hs_table *by_id;
   struct hs_list agents; /* Longest without a new flow first, so that agents of
                             equal load take turns.  */
@@ -36,6 +37,7 @@
 
 /* Private functions.  */
 
+static bool is_ready (const struct hs_pool_agent *agent, uint64_t now);
 static bool may_own_flows (const struct hs_pool_agent *agent, uint64_t now);
 static bool has_heard_upstream (const struct hs_pool_agent *agent);
 static bool is_silent (const struct hs_pool_agent *agent, uint64_t timeout_ms,
@@ -111,9 +113,46 @@
   agent->unanswered_since = 0;
   agent->placed_flows = 0;
   agent->is_same_zone = strcmp (report->zone, pool->zone) == 0;
+  agent->is_evacuated
+      = hs_evacuations_contain (&pool->evacuations, report->zone);
   return changed;
 }
 
+void
+hs_agent_pool_set_evacuations (struct hs_agent_pool *pool,
+                               const struct hs_evacuations *evacuations)
+{
+  pool->evacuations = *evacuations;
+  HS_LIST_FOREACH (link, &pool->agents)
+    {
+      struct hs_pool_agent *agent
+          = HS_LIST_ENTRY (link, struct hs_pool_agent, lru_link);
+
+      agent->is_evacuated
+          = hs_evacuations_contain (evacuations, agent->report.zone);
+    }
+}
+
+bool
+hs_agent_pool_is_evacuated (const struct hs_agent_pool *pool,
+                            uint64_t service_id, uint64_t now)
+{
+  bool found = false;
+
+  HS_LIST_FOREACH (link, &pool->agents)
+    {
+      const struct hs_pool_agent *agent
+          = HS_LIST_ENTRY (link, struct hs_pool_agent, lru_link);
+
+      if (agent->report.service_id != service_id || !is_ready (agent, now))
+        continue;
+      if (!agent->is_evacuated)
+        return false;
+      found = true;
+    }
+  return found;
+}
+
 void
 hs_agent_pool_mark_queried (struct hs_agent_pool *pool, uint64_t agent_id,
                             uint64_t now)
@@ -152,8 +191,7 @@
 bool
 hs_pool_agent_accepts_flows (const struct hs_pool_agent *agent, uint64_t now)
 {
-  return agent->report.state == HS_AGENT_READY
-         && !is_silent (agent, HS_ANSWER_TIMEOUT_MS, now);
+  return is_ready (agent, now) && !agent->is_evacuated;
 }
 
 const struct hs_pool_agent *
@@ -243,6 +281,13 @@
 
 /* Private definitions.  */
 
+static bool
+is_ready (const struct hs_pool_agent *agent, uint64_t now)
+{
+  return agent->report.state == HS_AGENT_READY
+         && !is_silent (agent, HS_ANSWER_TIMEOUT_MS, now);
+}
+
 /* An agent that is silent and whose upstream fell silent before has most
    likely been stopped together with its upstream, and owns no flows any more.
    One that has not heard its upstream yet has just started, and may be
--- a/src/segment/forwarder.c
+++ b/src/segment/forwarder.c
@@ -377,6 +377,10 @@
   agent = find_last_syn_agent (forwarder, flow, now);
   if (agent != NULL)
     return forward_syn (flow, agent, false);
+  if (flow->syn_agent_ids_len == 0
+      && hs_agent_pool_is_evacuated (forwarder->pool, flow->service_id, now))
+    return hs_forward_decision_without_agents (HS_FORWARD_RESET,
+                                               HS_REASON_EVACUATED);
   return hs_forward_decision_without_agents (HS_FORWARD_DROP,
                                              HS_REASON_NO_UPSTREAM);
 }
--- a/src/segment/load_poller.c
+++ b/src/segment/load_poller.c
@@ -12,7 +12,8 @@
      that it is silent, and that it is back.
 
    Agents of the entry's availability zone are asked more often, as most flows
-   are placed there.  */
+   are placed there; those of evacuated zones only in turn with all others, as
+   none are.  */
 
 #include "hibiscusspan.h"
 
@@ -99,6 +100,8 @@
 static void poll_service (struct hs_load_poller *poller,
                           struct polled_service *service, bool is_same_zone,
                           size_t count, uint64_t now);
+static bool is_evacuated (const struct hs_load_poller *poller,
+                          const struct polled_agent *agent);
 static void poll_active_services (struct hs_load_poller *poller, uint64_t now);
 static void retry_unanswered (struct hs_load_poller *poller, uint64_t now);
 static void refresh_next (struct hs_load_poller *poller, uint64_t now);
@@ -275,7 +278,8 @@
       if (len == count)
         break;
       if (agent->is_known && agent->service_id == service->service_id
-          && agent->is_same_zone == is_same_zone && !agent->is_unanswered)
+          && agent->is_same_zone == is_same_zone && !agent->is_unanswered
+          && !is_evacuated (poller, agent))
         chosen[len++] = agent;
     }
   for (size_t i = 0; i < len; i++)
@@ -284,6 +288,16 @@
     poll_service (poller, service, false, count - len, now);
 }
 
+static bool
+is_evacuated (const struct hs_load_poller *poller,
+              const struct polled_agent *agent)
+{
+  const struct hs_pool_agent *pooled
+      = hs_agent_pool_find (poller->pool, agent->agent_id);
+
+  return pooled != NULL && pooled->is_evacuated;
+}
+
 static void
 poll_active_services (struct hs_load_poller *poller, uint64_t now)
 {
--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -133,7 +133,8 @@
   struct hs_sidecar_ops ops;
   void *ctx;
   struct hs_segment_flow_table *flows;
-  bool is_draining; /* The agent stops.  */
+  bool is_draining;  /* The agent stops.  */
+  bool is_evacuated; /* The availability zone is evacuated.  */
 
   /* State of the upstream's present incarnation.  */
   enum hs_upstream_state state;
@@ -317,6 +318,14 @@
   sidecar->is_draining = true;
 }
 
+void
+hs_sidecar_set_evacuated (struct hs_sidecar *sidecar, bool evacuated,
+                          uint64_t now)
+{
+  (void)now;
+  sidecar->is_evacuated = evacuated;
+}
+
 struct hs_sidecar_decision
 hs_sidecar_handle_entry_segment (struct hs_sidecar *sidecar,
                                  const struct hs_segment *segment,
@@ -496,6 +505,8 @@
         && (flow->state == FLOW_SYN_SENT || flow->state == FLOW_SYN_ANSWERED
             || flow->state == FLOW_OPEN);
 
+  if (sidecar->is_evacuated)
+    return decide (HS_SIDECAR_REFUSE, HS_REASON_EVACUATED);
   if (sidecar->is_draining || sidecar->state == HS_UPSTREAM_DRAINING
       || sidecar->state == HS_UPSTREAM_LEFT)
     return decide (HS_SIDECAR_REFUSE, HS_REASON_DRAINING);
--- a/tests/e2e/segment_lib.sh
+++ b/tests/e2e/segment_lib.sh
@@ -41,10 +41,11 @@
   start_with_settings "entry-$1" segment-entry
 }
 
-# start_segment_agent N -- starts the agent of upstream N.
+# start_segment_agent N [ZONE] -- starts the agent of upstream N, in zone a if
+# none is given.
 start_segment_agent () {
   local ip=$NET.$((20 + $1))
-  write_settings "agent-$1" "ZONE=a" "SERVICE=alpha" "INNER=$ip:$INNER_PORT" \
+  write_settings "agent-$1" "ZONE=${2:-a}" "SERVICE=alpha" "INNER=$ip:$INNER_PORT" \
     "UPSTREAM=$ip:$UPSTREAM_PORT" "OUTBOUND=$ip:$OUTBOUND_PORT" \
     "HEARTBEATS=$ip:$HEARTBEAT_PORT" "HEALTH=$ip:$HEALTH_PORT" \
     "CALLER_AT=$ip:$SEGMENT_PORT" "HEARTBEAT_MS=300"
--- a/tests/fakes/group.c
+++ b/tests/fakes/group.c
@@ -3,7 +3,7 @@
 #include "fakes/group.h"
 #include "base/addr.h"
 #include "base/auto.h"
-#include "wire/replica_message.h"
+#include "wire/group_command.h"
 
 #include <string.h>
 
@@ -30,6 +30,11 @@
 #define TERM_MAX 512
 #define PENDING_MAX 64
 
+/* Each change with a number that this divides is an evacuation order; the
+   others set the version.  */
+#define ORDER_EVERY 3
+#define ORDER_ZONES 2
+
 enum event_kind
 {
   EVENT_TICK,
@@ -67,7 +72,7 @@
 {
   uint64_t index;       /* Index of a change's log entry.  */
   uint64_t term;        /* Answered only while the host leads that term.  */
-  uint64_t version;     /* Written by a change; 0: this is a read.  */
+  uint64_t version;     /* Number of a change; 0: this is a read.  */
   uint64_t round;       /* Round of a read.  */
   uint64_t min_version; /* Highest one acknowledged before the read began.  */
 };
@@ -79,7 +84,8 @@
   struct hs_control_host self;
   struct hs_replica *replica; /* NULL: the process is down.  */
   uint64_t generation;        /* Incremented by each start and stop.  */
-  uint64_t version;           /* The replicated state.  */
+  uint64_t version;           /* The replicated state, with the next one.  */
+  struct hs_evacuations evacuations;
   uint64_t frozen_until;
   uint64_t inbound_blocked_until;
   uint64_t outbound_blocked_until;
@@ -120,6 +126,8 @@
   uint64_t last_acknowledged_at;
   uint64_t leader_ids[TERM_MAX];      /* Indexed by term; 0: none seen.  */
   uint64_t entry_versions[INDEX_MAX]; /* Indexed by log index; 0: none.  */
+  struct hs_evacuation_order entry_orders[INDEX_MAX]; /* The same.  */
+  uint64_t max_acknowledged_order;                    /* Log index.  */
   struct group_report report;
 };
 
@@ -404,6 +412,26 @@
   host->next_sync_is_rewrite = false;
 }
 
+static void
+apply_order (struct host *host, const struct hs_replica_log_entry *entry)
+{
+  struct simulation *simulation = host->simulation;
+  HS_AUTO_TALLOC struct hs_group_command *command
+      = hs_group_command_decode (NULL, entry->data, entry->len, NULL);
+  struct hs_evacuation_order *seen;
+
+  g_assert_nonnull (command);
+  g_assert_true (hs_evacuations_apply (&host->evacuations, &command->order,
+                                       entry->index, NULL));
+  g_assert_cmpuint (entry->index, <, INDEX_MAX);
+  seen = &simulation->entry_orders[entry->index];
+  if (simulation->entry_versions[entry->index] != 0
+      || (seen->zone[0] != '\0'
+          && memcmp (seen, &command->order, sizeof *seen) != 0))
+    simulation->report.conflicting_entries++;
+  *seen = command->order;
+}
+
 static void
 on_apply (void *ctx, const struct hs_replica_log_entry *entry)
 {
@@ -411,6 +439,11 @@
   struct simulation *simulation = host->simulation;
   uint64_t version;
 
+  if (entry->len != sizeof version)
+    {
+      apply_order (host, entry);
+      return;
+    }
   memcpy (&version, entry->data, sizeof version);
   if (entry->index < INDEX_MAX)
     {
@@ -428,13 +461,15 @@
 on_restore (void *ctx, const uint8_t *data, size_t len)
 {
   struct host *host = ctx;
-  uint64_t value;
+  HS_AUTO_TALLOC struct hs_group_snapshot *snapshot
+      = hs_group_snapshot_decode (NULL, data, len, NULL);
 
-  g_assert_cmpuint (len, ==, sizeof value);
-  memcpy (&value, data, sizeof value);
-  if (value < host->version)
+  g_assert_nonnull (snapshot);
+  if (snapshot->configuration->version < host->version
+      || snapshot->evacuations.revision < host->evacuations.revision)
     host->simulation->report.state_regressions++;
-  host->version = value;
+  host->version = snapshot->configuration->version;
+  host->evacuations = snapshot->evacuations;
 }
 
 static uint8_t *
@@ -442,8 +477,14 @@
 {
   struct host *host = ctx;
 
-  *len = sizeof host->version;
-  return talloc_memdup (parent, &host->version, sizeof host->version);
+  struct hs_stored_configuration configuration
+      = { .version = host->version,
+          .source = (const uint8_t *)"",
+          .encoded = (const uint8_t *)"" };
+  struct hs_group_snapshot snapshot
+      = { .configuration = &configuration, .evacuations = host->evacuations };
+
+  return hs_group_snapshot_encode (parent, &snapshot, len);
 }
 
 /* Keeps the size of the smallest group after the largest one.  */
@@ -489,6 +530,7 @@
 
   host->generation++;
   host->version = 0;
+  host->evacuations = (struct hs_evacuations){ .revision = 0 };
   host->pending_len = 0;
   host->disk_failed = false;
   host->next_sync_is_rewrite = hs_list_is_empty (&host->durable);
@@ -586,6 +628,26 @@
   return host;
 }
 
+/* Returns the log index of the change NUMBER.  Orders start and end the
+   evacuations of all zones in turn.  */
+static uint64_t
+propose_change (struct host *host, uint64_t number)
+{
+  uint64_t order_number = number / ORDER_EVERY;
+  struct hs_evacuation_order order
+      = { .start = order_number / ORDER_ZONES % 2 == 0 };
+  HS_AUTO_TALLOC uint8_t *data = NULL;
+  size_t len;
+
+  if (number % ORDER_EVERY != 0)
+    return hs_replica_propose (host->replica, (const uint8_t *)&number,
+                               sizeof number, host->simulation->now);
+  g_snprintf (order.zone, sizeof order.zone, "zone-%u",
+              (unsigned int)(order_number % ORDER_ZONES));
+  data = hs_evacuation_order_encode (NULL, &order, &len);
+  return hs_replica_propose (host->replica, data, len, host->simulation->now);
+}
+
 /* An operator sends a change and a read to a random host.  Only a leader
    accepts them.  */
 static void
@@ -607,9 +669,7 @@
   pending = &host->pending[host->pending_len++];
   *pending = (struct pending){ .version = version,
                                .term = hs_replica_term (host->replica) };
-  pending->index
-      = hs_replica_propose (host->replica, (const uint8_t *)&version,
-                            sizeof version, simulation->now);
+  pending->index = propose_change (host, version);
   if (host->generation != generation)
     return;
   pending = &host->pending[host->pending_len++];
@@ -641,7 +701,12 @@
     }
   simulation->report.acknowledged++;
   end_gap (simulation, simulation->now);
-  if (pending->version > simulation->max_acknowledged)
+  if (pending->version % ORDER_EVERY == 0)
+    {
+      if (pending->index > simulation->max_acknowledged_order)
+        simulation->max_acknowledged_order = pending->index;
+    }
+  else if (pending->version > simulation->max_acknowledged)
     simulation->max_acknowledged = pending->version;
 }
 
@@ -794,6 +859,25 @@
   answer_pending (host);
 }
 
+/* Returns whether HOST has the state that follows from all orders, the
+   acknowledged ones among them.  */
+static bool
+has_all_orders (const struct simulation *simulation, const struct host *host)
+{
+  struct hs_evacuations expected = { .revision = 0 };
+  uint64_t applied = hs_replica_applied_index (host->replica);
+
+  for (uint64_t i = 1; i < INDEX_MAX && i <= applied; i++)
+    if (simulation->entry_orders[i].zone[0] != '\0')
+      hs_evacuations_apply (&expected, &simulation->entry_orders[i], i, NULL);
+  return applied >= simulation->max_acknowledged_order
+         && expected.revision == host->evacuations.revision
+         && expected.len == host->evacuations.len
+         && memcmp (expected.zones, host->evacuations.zones,
+                    expected.len * HS_NAME_SIZE)
+                == 0;
+}
+
 static void
 check_final_state (struct simulation *simulation)
 {
@@ -812,7 +896,8 @@
            && !hs_replica_leader (simulation->hosts[i].replica, &known);
   if (leader == NULL)
     simulation->report.no_leader++;
-  else if (leader->version < simulation->max_acknowledged)
+  else if (leader->version < simulation->max_acknowledged
+           || !has_all_orders (simulation, leader))
     simulation->report.lost_writes++;
 }
 
--- a/tests/fakes/group.h
+++ b/tests/fakes/group.h
@@ -3,7 +3,7 @@
    The replicas are the real ones.  The simulated network delays, reorders,
    duplicates, loses and blocks messages.  The simulated disks lose unsynced
    writes, stall, fill up or are replaced by empty ones.  Simulated operators
-   change a version number and read it.  */
+   change a version number, start and end evacuations, and read the state.  */
 
 #ifndef HS_FAKES_GROUP_H
 #define HS_FAKES_GROUP_H
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -26,6 +26,7 @@
   size_t sent_len;
   struct sent sent[SENT_MAX];
   unsigned int agents_changed;
+  unsigned int evacuations_changed;
   unsigned int lost;          /* Times that the control group was lost.  */
   unsigned int regained;      /* Times that it was regained.  */
   bool rejects_configuration; /* apply_configuration fails.  */
@@ -72,6 +73,15 @@
   node->agents_changed++;
 }
 
+static void
+on_evacuations_changed (void *ctx, const struct hs_evacuations *evacuations)
+{
+  struct node *node = ctx;
+
+  g_assert_cmpuint (evacuations->revision, >, 0);
+  node->evacuations_changed++;
+}
+
 static void
 on_group_lost_changed (void *ctx, bool lost)
 {
@@ -86,8 +96,9 @@
 static struct node *
 node_create (enum hs_role role)
 {
-  struct hs_follower_ops ops = { on_send, on_apply_configuration,
-                                 on_agents_changed, on_group_lost_changed };
+  struct hs_follower_ops ops
+      = { on_send, on_apply_configuration, on_agents_changed,
+          on_evacuations_changed, on_group_lost_changed };
   struct hs_inner_heartbeat self = { .role = role, .node_id = 1, .name = "n" };
   struct hs_addrs seeds = { .len = 3 };
   struct node *node = talloc_zero (NULL, struct node);
