Place flows only on agents in the regions that their route allows

The region map gives the region of each availability zone. A new flow is described by a struct hs_flow_demand, with its service, the allowed regions and the agents that are excluded, which replaces the parameters of the placement and overload functions of the agent pool. A route without regions is placed as before.

If agents of the service accept flows but none of them is in an allowed region, the caller is reset with the reason region. A SYN that an agent has, and may have accepted, is dropped instead, as after other refusals.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -1038,6 +1038,37 @@
 bool hs_configuration_check (const struct hs_configuration *configuration,
                              GError **error);
 
+/* Region map: the region of each availability zone.  */
+
+struct hs_region_map;
+
+/* Parses TEXT, "zone:region,zone:region"; empty parts are ignored.  Returns
+   NULL with HS_ERROR_INVALID, which names the bad part, if a part has another
+   form or a zone is listed twice.  */
+struct hs_region_map *hs_region_map_create (void *parent, const char *text,
+                                            GError **error);
+void hs_region_map_destroy (struct hs_region_map *map);
+
+/* Returns the name of ZONE's region, which is owned by MAP, or NULL if ZONE is
+   not listed.  */
+const char *hs_region_map_find (const struct hs_region_map *map,
+                                const char *zone);
+
+/* Returns the number of zones that are listed.  */
+size_t hs_region_map_len (const struct hs_region_map *map);
+
+/* The regions whose upstreams may get the flows of a route.  */
+struct hs_region_set
+{
+  size_t len;                         /* 0: all regions.  */
+  uint64_t ids[HS_ROUTE_REGIONS_MAX]; /* hs_id_from_name of their names.  */
+};
+
+/* SET: NULL for all regions.  REGION_ID: 0 if the region is not known, which
+   only a set of all regions allows.  */
+bool hs_region_set_allows (const struct hs_region_set *set,
+                           uint64_t region_id);
+
 /* Routing: the routes of a configuration, indexed by address.  */
 
 #define HS_SPLITS_MAX 8 /* Services of a route.  */
@@ -1063,9 +1094,10 @@
   struct hs_list link; /* In the rules of the routing.  */
   struct hs_addr address;
   enum hs_request_class request_class;
-  uint32_t slo_ms;       /* Latency objective of a request; 0: none.  */
-  uint32_t priority;     /* 0 is the highest.  */
-  uint32_t total_weight; /* Sum of the weights in SPLITS; not 0.  */
+  uint32_t slo_ms;              /* Latency objective of a request; 0: none.  */
+  uint32_t priority;            /* 0 is the highest.  */
+  uint32_t total_weight;        /* Sum of the weights in SPLITS; not 0.  */
+  struct hs_region_set regions; /* Of the upstreams that may get its flows.  */
   size_t splits_len;
   struct hs_rule_split splits[HS_SPLITS_MAX];
   size_t former_len; /* Of the latest HS_SPLITS_MAX.  */
@@ -1170,6 +1202,23 @@
                                    none.  */
   uint32_t placed_flows;        /* Flows placed here since the report.  */
   bool is_same_zone;            /* In the entry's availability zone.  */
+  uint64_t region_id;           /* hs_id_from_name of its region's name; 0: not
+                                   known.  */
+};
+
+#define HS_SYN_AGENTS_MAX 4 /* Agents that one SYN is sent to.  */
+
+/* Agents that a SYN was sent to, and agents that refused it.  */
+#define HS_FLOW_EXCLUDED_MAX (2 * HS_SYN_AGENTS_MAX)
+
+/* What a new flow requires of the agent that it is placed on.  */
+struct hs_flow_demand
+{
+  uint64_t service_id;
+  const struct hs_region_set *regions; /* Allowed regions; NULL: all.  */
+  size_t excluded_len;
+  uint64_t excluded[HS_FLOW_EXCLUDED_MAX]; /* Ids of agents that are not to be
+                                              chosen.  */
 };
 
 struct hs_agent_pool;
@@ -1178,6 +1227,12 @@
 struct hs_agent_pool *hs_agent_pool_create (void *parent, const char *zone);
 void hs_agent_pool_destroy (struct hs_agent_pool *pool);
 
+/* Sets the regions of the agents, which are not known otherwise.  Call it
+   before the first hs_agent_pool_update.  MAP is borrowed and must outlive the
+   pool.  */
+void hs_agent_pool_set_region_map (struct hs_agent_pool *pool,
+                                   const struct hs_region_map *map);
+
 /* Stores a copy of REPORT if it is newer than the agent's latest report.
    Returns whether the agent is new, or its state or incarnation has
    changed.  */
@@ -1206,23 +1261,29 @@
 bool hs_pool_agent_accepts_flows (const struct hs_pool_agent *agent,
                                   uint64_t now);
 
-/* Chooses the agent of a service with the lowest load for a new flow and
-   counts the flow there.  EXCLUDED: ids of agents that are not to be chosen.
-   Returns NULL if no other agent accepts flows.  */
+/* Chooses the agent with the lowest load that meets DEMAND for a new flow and
+   counts the flow there.  Returns NULL if none of them accepts flows.  */
 const struct hs_pool_agent *
-hs_agent_pool_place_flow (struct hs_agent_pool *pool, uint64_t service_id,
-                          const uint64_t *excluded, size_t excluded_len,
-                          uint64_t now);
+hs_agent_pool_place_flow (struct hs_agent_pool *pool,
+                          const struct hs_flow_demand *demand, uint64_t now);
+
+/* Returns whether agents of the service accept flows, but none of them is in a
+   region that DEMAND allows.  The agents that DEMAND excludes count as
+   well.  */
+bool hs_agent_pool_lacks_region (const struct hs_agent_pool *pool,
+                                 const struct hs_flow_demand *demand,
+                                 uint64_t now);
 
 /* Returns the time in microseconds that a new request is expected to wait for
    a slot of the agent's upstream.  */
 uint64_t hs_pool_agent_wait_us (const struct hs_pool_agent *agent);
 
-/* Returns the agent of a service, in any availability zone, with the shortest
-   expected wait, or NULL if none accepts flows.  */
+/* Returns the agent of the service in an allowed region, in any availability
+   zone, with the shortest expected wait, or NULL if none accepts flows.  The
+   agents that DEMAND excludes count as well.  */
 const struct hs_pool_agent *
 hs_agent_pool_least_busy (const struct hs_agent_pool *pool,
-                          uint64_t service_id, uint64_t now);
+                          const struct hs_flow_demand *demand, uint64_t now);
 
 /* Overload: how long a request may wait for a slot of an upstream, and how
    long it is expected to.  */
@@ -1249,11 +1310,12 @@
                                   uint32_t mean_work_us);
 
 /* Returns whether a new flow is to be refused, since even at the least busy
-   agent the wait for a slot would be too long.  False if SLO_MS is 0 or no
-   agent accepts flows.  */
+   agent, as of hs_agent_pool_least_busy, the wait for a slot would be too
+   long.  False if SLO_MS is 0 or no agent accepts flows.  */
 bool hs_agent_pool_is_overloaded (const struct hs_agent_pool *pool,
-                                  uint64_t service_id, uint32_t slo_ms,
-                                  uint32_t priority, uint64_t now);
+                                  const struct hs_flow_demand *demand,
+                                  uint32_t slo_ms, uint32_t priority,
+                                  uint64_t now);
 
 /* Fills AGENTS, of MAX elements, with the agents of a service (0: of every
    service) that may own flows.  Returns their number, at most MAX.  */
@@ -1427,7 +1489,6 @@
 /* Forwarder: decides what an entry does with a segment of a caller.  */
 
 #define HS_LOOKUP_AGENTS_MAX 1024    /* Agents queried for one flow.  */
-#define HS_SYN_AGENTS_MAX 4          /* Agents that one SYN is sent to.  */
 #define HS_FORWARDER_FLOWS_MAX 65536 /* Flows in the table of an entry.  */
 
 enum hs_forward_action
--- a/src/segment/agent_pool.c
+++ b/src/segment/agent_pool.c
@@ -29,6 +29,7 @@
 struct hs_agent_pool
 {
   char zone[HS_NAME_SIZE];
+  const struct hs_region_map *region_map; /* NULL: no regions are known.  */
   struct hs_table *by_id;
   struct hs_list agents; /* Longest without a new flow first, so that agents of
                             equal load take turns.  */
@@ -42,21 +43,23 @@
                        uint64_t now);
 static void remove_agent (struct hs_agent_pool *pool,
                           struct hs_pool_agent *agent);
+static uint64_t region_of (const struct hs_agent_pool *pool, const char *zone);
 static struct hs_pool_agent *
-find_lowest_load (struct hs_agent_pool *pool, uint64_t service_id,
-                  const uint64_t *excluded, size_t excluded_len,
-                  uint64_t age_max_ms, uint64_t now);
+find_lowest_load (struct hs_agent_pool *pool,
+                  const struct hs_flow_demand *demand, uint64_t age_max_ms,
+                  uint64_t now);
 static const struct hs_pool_agent *
-find_least_busy (const struct hs_agent_pool *pool, uint64_t service_id,
-                 uint64_t age_max_ms, uint64_t now);
+find_least_busy (const struct hs_agent_pool *pool,
+                 const struct hs_flow_demand *demand, uint64_t age_max_ms,
+                 uint64_t now);
 
 static bool match_id (const struct hs_table_node *node, const void *key);
 static struct hs_pool_agent *find_agent (const struct hs_agent_pool *pool,
                                          uint64_t agent_id);
 static bool is_later (const struct hs_load_report *report,
                       const struct hs_load_report *previous);
-static bool is_excluded (uint64_t agent_id, const uint64_t *excluded,
-                         size_t len);
+static bool is_excluded (uint64_t agent_id,
+                         const struct hs_flow_demand *demand);
 static double load_of (const struct hs_pool_agent *agent);
 
 /* Public definitions.  */
@@ -88,6 +91,13 @@
   talloc_free (pool);
 }
 
+void
+hs_agent_pool_set_region_map (struct hs_agent_pool *pool,
+                              const struct hs_region_map *map)
+{
+  pool->region_map = map;
+}
+
 bool
 hs_agent_pool_update (struct hs_agent_pool *pool,
                       const struct hs_load_report *report, uint64_t now)
@@ -111,6 +121,7 @@
   agent->unanswered_since = 0;
   agent->placed_flows = 0;
   agent->is_same_zone = strcmp (report->zone, pool->zone) == 0;
+  agent->region_id = region_of (pool, report->zone);
   return changed;
 }
 
@@ -157,16 +168,14 @@
 }
 
 const struct hs_pool_agent *
-hs_agent_pool_place_flow (struct hs_agent_pool *pool, uint64_t service_id,
-                          const uint64_t *excluded, size_t excluded_len,
-                          uint64_t now)
+hs_agent_pool_place_flow (struct hs_agent_pool *pool,
+                          const struct hs_flow_demand *demand, uint64_t now)
 {
-  struct hs_pool_agent *best = find_lowest_load (
-      pool, service_id, excluded, excluded_len, FRESH_REPORT_MS, now);
+  struct hs_pool_agent *best
+      = find_lowest_load (pool, demand, FRESH_REPORT_MS, now);
 
   if (best == NULL)
-    best = find_lowest_load (pool, service_id, excluded, excluded_len,
-                             UINT64_MAX, now);
+    best = find_lowest_load (pool, demand, UINT64_MAX, now);
   if (best == NULL)
     return NULL;
   best->placed_flows++;
@@ -175,6 +184,27 @@
   return best;
 }
 
+bool
+hs_agent_pool_lacks_region (const struct hs_agent_pool *pool,
+                            const struct hs_flow_demand *demand, uint64_t now)
+{
+  bool lacks_region = false;
+
+  HS_LIST_FOREACH (link, &pool->agents)
+    {
+      const struct hs_pool_agent *agent
+          = HS_LIST_ENTRY (link, struct hs_pool_agent, lru_link);
+
+      if (agent->report.service_id != demand->service_id
+          || !hs_pool_agent_accepts_flows (agent, now))
+        continue;
+      if (hs_region_set_allows (demand->regions, agent->region_id))
+        return false;
+      lacks_region = true;
+    }
+  return lacks_region;
+}
+
 uint64_t
 hs_pool_agent_wait_us (const struct hs_pool_agent *agent)
 {
@@ -187,13 +217,12 @@
 
 const struct hs_pool_agent *
 hs_agent_pool_least_busy (const struct hs_agent_pool *pool,
-                          uint64_t service_id, uint64_t now)
+                          const struct hs_flow_demand *demand, uint64_t now)
 {
   const struct hs_pool_agent *best
-      = find_least_busy (pool, service_id, FRESH_REPORT_MS, now);
+      = find_least_busy (pool, demand, FRESH_REPORT_MS, now);
 
-  return best != NULL ? best
-                      : find_least_busy (pool, service_id, UINT64_MAX, now);
+  return best != NULL ? best : find_least_busy (pool, demand, UINT64_MAX, now);
 }
 
 size_t
@@ -279,12 +308,23 @@
   talloc_free (agent);
 }
 
-/* Returns the agent of a service with the lowest load whose report is at most
-   AGE_MAX_MS old, or NULL.  */
+/* Returns the id of the region of ZONE, or 0 if it is not known.  */
+static uint64_t
+region_of (const struct hs_agent_pool *pool, const char *zone)
+{
+  const char *region = pool->region_map != NULL
+                           ? hs_region_map_find (pool->region_map, zone)
+                           : NULL;
+
+  return region != NULL ? hs_id_from_name (region) : 0;
+}
+
+/* Returns the agent with the lowest load that meets DEMAND and whose report is
+   at most AGE_MAX_MS old, or NULL.  */
 static struct hs_pool_agent *
-find_lowest_load (struct hs_agent_pool *pool, uint64_t service_id,
-                  const uint64_t *excluded, size_t excluded_len,
-                  uint64_t age_max_ms, uint64_t now)
+find_lowest_load (struct hs_agent_pool *pool,
+                  const struct hs_flow_demand *demand, uint64_t age_max_ms,
+                  uint64_t now)
 {
   struct hs_pool_agent *best = NULL;
   double best_load = 0;
@@ -295,10 +335,11 @@
           = HS_LIST_ENTRY (link, struct hs_pool_agent, lru_link);
       double load;
 
-      if (agent->report.service_id != service_id
+      if (agent->report.service_id != demand->service_id
           || now - agent->last_heard_at > age_max_ms
           || !hs_pool_agent_accepts_flows (agent, now)
-          || is_excluded (agent->report.agent_id, excluded, excluded_len))
+          || !hs_region_set_allows (demand->regions, agent->region_id)
+          || is_excluded (agent->report.agent_id, demand))
         continue;
       load = load_of (agent);
       if (best != NULL && load >= best_load)
@@ -309,11 +350,12 @@
   return best;
 }
 
-/* Returns the agent of a service with the shortest expected wait whose report
-   is at most AGE_MAX_MS old, or NULL.  */
+/* Returns the agent of the service in an allowed region with the shortest
+   expected wait whose report is at most AGE_MAX_MS old, or NULL.  */
 static const struct hs_pool_agent *
-find_least_busy (const struct hs_agent_pool *pool, uint64_t service_id,
-                 uint64_t age_max_ms, uint64_t now)
+find_least_busy (const struct hs_agent_pool *pool,
+                 const struct hs_flow_demand *demand, uint64_t age_max_ms,
+                 uint64_t now)
 {
   const struct hs_pool_agent *best = NULL;
 
@@ -322,9 +364,10 @@
       const struct hs_pool_agent *agent
           = HS_LIST_ENTRY (link, struct hs_pool_agent, lru_link);
 
-      if (agent->report.service_id == service_id
+      if (agent->report.service_id == demand->service_id
           && now - agent->last_heard_at <= age_max_ms
           && hs_pool_agent_accepts_flows (agent, now)
+          && hs_region_set_allows (demand->regions, agent->region_id)
           && (best == NULL
               || hs_pool_agent_wait_us (agent) < hs_pool_agent_wait_us (best)))
         best = agent;
@@ -362,10 +405,10 @@
 }
 
 static bool
-is_excluded (uint64_t agent_id, const uint64_t *excluded, size_t len)
+is_excluded (uint64_t agent_id, const struct hs_flow_demand *demand)
 {
-  for (size_t i = 0; i < len; i++)
-    if (excluded[i] == agent_id)
+  for (size_t i = 0; i < demand->excluded_len; i++)
+    if (demand->excluded[i] == agent_id)
       return true;
   return false;
 }
--- a/src/segment/forwarder.c
+++ b/src/segment/forwarder.c
@@ -36,18 +36,26 @@
 static struct hs_forward_decision
 route_syn_retransmission (struct hs_forwarder *forwarder,
                           struct hs_forwarder_flow *flow,
+                          const struct hs_flow_demand *demand,
                           const struct hs_segment *segment, uint64_t now);
 static uint64_t pick_service (const struct hs_routing_rule *rule,
                               const struct hs_forwarder_flow *flow,
                               uint32_t seq);
 static void follow_route (struct hs_forwarder_flow *flow,
                           const struct hs_routing_rule *rule);
+static struct hs_flow_demand demand_of (const struct hs_forwarder_flow *flow,
+                                        const struct hs_routing_rule *rule);
 static const struct hs_pool_agent *
 find_last_syn_agent (const struct hs_forwarder *forwarder,
-                     const struct hs_forwarder_flow *flow, uint64_t now);
-static struct hs_forward_decision place_flow (struct hs_forwarder *forwarder,
-                                              struct hs_forwarder_flow *flow,
-                                              uint64_t now);
+                     const struct hs_forwarder_flow *flow,
+                     const struct hs_flow_demand *demand, uint64_t now);
+static struct hs_forward_decision
+place_flow (struct hs_forwarder *forwarder, struct hs_forwarder_flow *flow,
+            const struct hs_flow_demand *demand, uint64_t now);
+static struct hs_forward_decision
+send_to_another_agent (struct hs_forwarder *forwarder,
+                       struct hs_forwarder_flow *flow,
+                       const struct hs_flow_demand *demand, uint64_t now);
 static struct hs_forward_decision
 forward_to_owner (struct hs_forwarder *forwarder,
                   struct hs_forwarder_flow *flow);
@@ -62,8 +70,12 @@
 forward_syn (const struct hs_forwarder_flow *flow,
              const struct hs_pool_agent *agent, bool is_placement);
 static struct hs_forward_decision
+refuse_unplaced (const struct hs_forwarder *forwarder,
+                 const struct hs_forwarder_flow *flow,
+                 const struct hs_flow_demand *demand, uint64_t now);
+static struct hs_forward_decision
 refuse_overloaded (const struct hs_forwarder *forwarder,
-                   const struct hs_forwarder_flow *flow, uint64_t now);
+                   const struct hs_flow_demand *demand, uint64_t now);
 static struct hs_forward_decision
 refuse_uplink_full (const struct hs_forwarder *forwarder, uint64_t now);
 
@@ -162,6 +174,7 @@
       = hs_segment_flow_table_find (forwarder->flows, &key);
   struct hs_forward_decision decision;
   const struct hs_routing_rule *rule;
+  struct hs_flow_demand demand;
 
   if (reason == HS_REASON_DRAINING)
     hs_agent_pool_set_state (forwarder->pool, agent_id, HS_AGENT_DRAINING);
@@ -183,11 +196,12 @@
     return hs_forward_decision_without_agents (HS_FORWARD_RESET,
                                                HS_REASON_NO_SERVICE);
   follow_route (flow, rule);
-  decision = place_flow (forwarder, flow, now);
+  demand = demand_of (flow, rule);
+  decision = place_flow (forwarder, flow, &demand, now);
   /* The agents that are left could not take another flow either.  */
   if (decision.action == HS_FORWARD_DROP
       && (reason == HS_REASON_OVERLOADED || reason == HS_REASON_SHED))
-    return refuse_overloaded (forwarder, flow, now);
+    return refuse_overloaded (forwarder, &demand, now);
   return decision;
 }
 
@@ -252,6 +266,7 @@
   struct hs_forwarder_flow *flow
       = hs_segment_flow_table_find (forwarder->flows, &key);
   const struct hs_routing_rule *rule;
+  struct hs_flow_demand demand;
 
   if (forwarder->routing == NULL)
     return hs_forward_decision_without_agents (HS_FORWARD_DROP,
@@ -265,7 +280,8 @@
     {
       hs_segment_flow_table_touch (forwarder->flows, &flow->base, now);
       follow_route (flow, rule);
-      return route_syn_retransmission (forwarder, flow, segment, now);
+      demand = demand_of (flow, rule);
+      return route_syn_retransmission (forwarder, flow, &demand, segment, now);
     }
   flow = hs_forwarder_find_or_add_flow (forwarder, &key, now);
   flow->service_id = pick_service (rule, flow, segment->seq);
@@ -282,7 +298,8 @@
   flow->directories_checked_at = 0;
   flow->is_unowned = false;
   hs_owner_lookup_stop (flow);
-  return place_flow (forwarder, flow, now);
+  demand = demand_of (flow, rule);
+  return place_flow (forwarder, flow, &demand, now);
 }
 
 /* Each entry with the same routes picks the same service for a SYN.  */
@@ -312,24 +329,41 @@
 static struct hs_forward_decision
 route_syn_retransmission (struct hs_forwarder *forwarder,
                           struct hs_forwarder_flow *flow,
+                          const struct hs_flow_demand *demand,
                           const struct hs_segment *segment, uint64_t now)
 {
   const struct hs_pool_agent *agent
-      = find_last_syn_agent (forwarder, flow, now);
+      = find_last_syn_agent (forwarder, flow, demand, now);
 
   if (flow->owner_id != 0)
     return hs_forward_decision_without_agents (HS_FORWARD_DROP,
                                                HS_REASON_NONE);
   if (agent != NULL && segment->ack < SYN_RETRANSMISSION_OTHER_AGENT)
     return forward_syn (flow, agent, false);
-  return place_flow (forwarder, flow, now);
+  return place_flow (forwarder, flow, demand, now);
+}
+
+/* Returns what the agent has to meet that the SYN is to be sent to next.  */
+static struct hs_flow_demand
+demand_of (const struct hs_forwarder_flow *flow,
+           const struct hs_routing_rule *rule)
+{
+  struct hs_flow_demand demand
+      = { .service_id = flow->service_id, .regions = &rule->regions };
+
+  for (size_t i = 0; i < flow->syn_agent_ids_len; i++)
+    demand.excluded[demand.excluded_len++] = flow->syn_agent_ids[i];
+  for (size_t i = 0; i < flow->refused_ids_len; i++)
+    demand.excluded[demand.excluded_len++] = flow->refused_ids[i];
+  return demand;
 }
 
 /* Returns the agent that the SYN was sent to last, or NULL if it accepts no
-   flows of the flow's service.  */
+   flows of the service or is in a region that is not allowed.  */
 static const struct hs_pool_agent *
 find_last_syn_agent (const struct hs_forwarder *forwarder,
-                     const struct hs_forwarder_flow *flow, uint64_t now)
+                     const struct hs_forwarder_flow *flow,
+                     const struct hs_flow_demand *demand, uint64_t now)
 {
   const struct hs_pool_agent *agent
       = flow->syn_agent_ids_len > 0 ? hs_agent_pool_find (
@@ -337,48 +371,49 @@
                                     : NULL;
 
   return agent != NULL && hs_pool_agent_accepts_flows (agent, now)
-                 && agent->report.service_id == flow->service_id
+                 && agent->report.service_id == demand->service_id
+                 && hs_region_set_allows (demand->regions, agent->region_id)
              ? agent
              : NULL;
 }
 
-/* Sends the SYN to one more agent or, if no other agent accepts flows, to the
-   latest one again.  If that one does not either, the SYN is dropped: the
-   caller's next retransmission may find an agent.  The first SYN of a flow is
-   refused if the uplink or the agents are overloaded.  */
+/* Sends the SYN to one more agent, or refuses the flow.  The first SYN of a
+   flow is refused if the uplink or the agents are overloaded.  */
 static struct hs_forward_decision
 place_flow (struct hs_forwarder *forwarder, struct hs_forwarder_flow *flow,
-            uint64_t now)
+            const struct hs_flow_demand *demand, uint64_t now)
 {
-  const struct hs_pool_agent *agent = NULL;
-  uint64_t excluded[2 * HS_SYN_AGENTS_MAX];
-  size_t excluded_len = 0;
-
   if (flow->syn_agent_ids_len == 0
       && hs_uplink_refuses_flow (forwarder->uplink, flow->request_class,
                                  flow->slo_ms, flow->priority, now))
     return refuse_uplink_full (forwarder, now);
   if (flow->syn_agent_ids_len == 0
-      && hs_agent_pool_is_overloaded (forwarder->pool, flow->service_id,
-                                      flow->slo_ms, flow->priority, now))
-    return refuse_overloaded (forwarder, flow, now);
-  for (size_t i = 0; i < flow->syn_agent_ids_len; i++)
-    excluded[excluded_len++] = flow->syn_agent_ids[i];
-  for (size_t i = 0; i < flow->refused_ids_len; i++)
-    excluded[excluded_len++] = flow->refused_ids[i];
-  if (excluded_len < HS_SYN_AGENTS_MAX)
-    agent = hs_agent_pool_place_flow (forwarder->pool, flow->service_id,
-                                      excluded, excluded_len, now);
+      && hs_agent_pool_is_overloaded (forwarder->pool, demand, flow->slo_ms,
+                                      flow->priority, now))
+    return refuse_overloaded (forwarder, demand, now);
+  return send_to_another_agent (forwarder, flow, demand, now);
+}
+
+/* Sends the SYN to one more agent or, if no other agent accepts flows, to the
+   latest one again, if that one does.  */
+static struct hs_forward_decision
+send_to_another_agent (struct hs_forwarder *forwarder,
+                       struct hs_forwarder_flow *flow,
+                       const struct hs_flow_demand *demand, uint64_t now)
+{
+  const struct hs_pool_agent *agent = NULL;
+
+  if (demand->excluded_len < HS_SYN_AGENTS_MAX)
+    agent = hs_agent_pool_place_flow (forwarder->pool, demand, now);
   if (agent != NULL)
     {
       flow->syn_agent_ids[flow->syn_agent_ids_len++] = agent->report.agent_id;
       return forward_syn (flow, agent, true);
     }
-  agent = find_last_syn_agent (forwarder, flow, now);
+  agent = find_last_syn_agent (forwarder, flow, demand, now);
   if (agent != NULL)
     return forward_syn (flow, agent, false);
-  return hs_forward_decision_without_agents (HS_FORWARD_DROP,
-                                             HS_REASON_NO_UPSTREAM);
+  return refuse_unplaced (forwarder, flow, demand, now);
 }
 
 static struct hs_forward_decision
@@ -447,15 +482,33 @@
   return decision;
 }
 
+/* Decides on a SYN for which there is no agent.  If the agents of the regions
+   that the route allows are all gone, the caller is reset: its retransmissions
+   would find none either.  Else the SYN is dropped: the caller's next
+   retransmission may find an agent.  It is also dropped if an agent that has
+   the SYN may have accepted it, since a reset means that nothing has run.  */
+static struct hs_forward_decision
+refuse_unplaced (const struct hs_forwarder *forwarder,
+                 const struct hs_forwarder_flow *flow,
+                 const struct hs_flow_demand *demand, uint64_t now)
+{
+  if (!hs_agent_pool_lacks_region (forwarder->pool, demand, now))
+    return hs_forward_decision_without_agents (HS_FORWARD_DROP,
+                                               HS_REASON_NO_UPSTREAM);
+  return hs_forward_decision_without_agents (
+      flow->syn_agent_ids_len == 0 ? HS_FORWARD_RESET : HS_FORWARD_DROP,
+      HS_REASON_REGION);
+}
+
 static struct hs_forward_decision
 refuse_overloaded (const struct hs_forwarder *forwarder,
-                   const struct hs_forwarder_flow *flow, uint64_t now)
+                   const struct hs_flow_demand *demand, uint64_t now)
 {
   struct hs_forward_decision decision = hs_forward_decision_without_agents (
       HS_FORWARD_RESET, HS_REASON_OVERLOADED);
 
   decision.least_busy
-      = hs_agent_pool_least_busy (forwarder->pool, flow->service_id, now);
+      = hs_agent_pool_least_busy (forwarder->pool, demand, now);
   return decision;
 }
 
--- a/src/segment/overload.c
+++ b/src/segment/overload.c
@@ -50,11 +50,11 @@
 
 bool
 hs_agent_pool_is_overloaded (const struct hs_agent_pool *pool,
-                             uint64_t service_id, uint32_t slo_ms,
-                             uint32_t priority, uint64_t now)
+                             const struct hs_flow_demand *demand,
+                             uint32_t slo_ms, uint32_t priority, uint64_t now)
 {
   const struct hs_pool_agent *best
-      = hs_agent_pool_least_busy (pool, service_id, now);
+      = hs_agent_pool_least_busy (pool, demand, now);
 
   return best != NULL && slo_ms > 0
          && hs_pool_agent_wait_us (best)
--- a/src/segment/routing.c
+++ b/src/segment/routing.c
@@ -30,6 +30,8 @@
                          const char *service);
 static void add_rule (struct hs_routing *routing,
                       const struct hs_service_route *route);
+static void add_regions (struct hs_routing_rule *rule,
+                         const struct hs_service_route *route);
 static void add_former (struct hs_routing_rule *rule, uint64_t service_id,
                         uint64_t until);
 static uint64_t address_hash (const struct hs_addr *address);
@@ -207,6 +209,7 @@
   rule->request_class = route->request_class;
   rule->slo_ms = route->slo_ms;
   rule->priority = route->priority;
+  add_regions (rule, route);
   rule->splits_len = route->splits_len;
   for (size_t i = 0; i < route->splits_len; i++)
     {
@@ -221,6 +224,15 @@
   hs_list_append (&routing->rules, &rule->link);
 }
 
+static void
+add_regions (struct hs_routing_rule *rule,
+             const struct hs_service_route *route)
+{
+  rule->regions.len = route->regions_len;
+  for (size_t i = 0; i < route->regions_len; i++)
+    rule->regions.ids[i] = hs_id_from_name (route->regions[i]);
+}
+
 /* Does nothing if the rule has the service already, or HS_SPLITS_MAX former
    ones.  Call it for the latest services first.  */
 static void
--- a/tests/test_crest.c
+++ b/tests/test_crest.c
@@ -183,16 +183,18 @@
 place_flow (struct simulation *sim, uint32_t priority, uint64_t arrived_at,
             uint64_t now)
 {
+  struct hs_flow_demand demand = { .service_id = 1 };
   const struct hs_pool_agent *agent;
 
   if (sim->may_refuse
-      && hs_agent_pool_is_overloaded (sim->pool, 1, SLO_MS, priority, now))
+      && hs_agent_pool_is_overloaded (sim->pool, &demand, SLO_MS, priority,
+                                      now))
     {
       sim->result.refused++;
       sim->result.refused_with_free_slot += has_free_slot (sim);
       return false;
     }
-  agent = hs_agent_pool_place_flow (sim->pool, 1, NULL, 0, now);
+  agent = hs_agent_pool_place_flow (sim->pool, &demand, now);
   g_assert_nonnull (agent);
   if (submit (sim, (unsigned int)agent->report.agent_id - 1, arrived_at, now))
     return true;
--- a/tests/test_poller.c
+++ b/tests/test_poller.c
@@ -128,8 +128,9 @@
         }
       if (flow_interval_ms != 0 && sim->now % flow_interval_ms == 0)
         {
-          const struct hs_pool_agent *agent = hs_agent_pool_place_flow (
-              sim->pool, SERVICE, NULL, 0, sim->now);
+          struct hs_flow_demand demand = { .service_id = SERVICE };
+          const struct hs_pool_agent *agent
+              = hs_agent_pool_place_flow (sim->pool, &demand, sim->now);
 
           hs_load_poller_handle_syn (sim->poller, SERVICE, sim->now);
           if (agent != NULL)
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -749,21 +749,31 @@
 
 /* Agent pool: placement of new flows.  */
 
+/* Places a flow that any agent of the service may take.  */
+static const struct hs_pool_agent *
+place_anywhere (struct entry *entry, uint64_t service_id, uint64_t now)
+{
+  struct hs_flow_demand demand = { .service_id = service_id };
+
+  return hs_agent_pool_place_flow (entry->pool, &demand, now);
+}
+
 static void
 test_placement_prefers_zone_until_busy (void)
 {
   struct entry entry = entry_create (0);
   uint64_t alpha = hs_id_from_name (ALPHA);
-  const struct hs_pool_agent *chosen
-      = hs_agent_pool_place_flow (entry.pool, alpha, NULL, 0, 0);
+  const struct hs_pool_agent *chosen = place_anywhere (&entry, alpha, 0);
   uint64_t x = hs_id_from_name ("x");
   uint64_t y = hs_id_from_name ("y");
+  struct hs_flow_demand not_y
+      = { .service_id = alpha, .excluded_len = 1, .excluded = { y } };
 
   g_assert_cmpuint (chosen->report.agent_id, ==, x);
   report_load (&entry, "x", "a", HS_AGENT_READY, 6, 10);
-  chosen = hs_agent_pool_place_flow (entry.pool, alpha, NULL, 0, 10);
+  chosen = place_anywhere (&entry, alpha, 10);
   g_assert_cmpuint (chosen->report.agent_id, ==, y);
-  chosen = hs_agent_pool_place_flow (entry.pool, alpha, &y, 1, 10);
+  chosen = hs_agent_pool_place_flow (entry.pool, &not_y, 10);
   g_assert_cmpuint (chosen->report.agent_id, ==, hs_id_from_name ("z"));
   talloc_free (entry.root);
 }
@@ -779,8 +789,8 @@
 
   for (unsigned int i = 0; i < 21; i++)
     {
-      const struct hs_pool_agent *chosen = hs_agent_pool_place_flow (
-          entry.pool, hs_id_from_name (ALPHA), NULL, 0, 0);
+      const struct hs_pool_agent *chosen
+          = place_anywhere (&entry, hs_id_from_name (ALPHA), 0);
       unsigned int index = chosen->report.agent_id == hs_id_from_name ("x") ? 0
                            : chosen->report.agent_id == hs_id_from_name ("y")
                                ? 1
@@ -803,19 +813,14 @@
 
   report_load (&entry, "x", "a", HS_AGENT_DRAINING, 0, 10);
   report_load (&entry, "y", "b", HS_AGENT_UPSTREAM_SILENT, 0, 10);
-  g_assert_cmpuint (hs_agent_pool_place_flow (entry.pool, alpha, NULL, 0, 10)
-                        ->report.agent_id,
-                    ==, hs_id_from_name ("z"));
-  g_assert_nonnull (
-      hs_agent_pool_place_flow (entry.pool, alpha, NULL, 0, 5000));
+  g_assert_cmpuint (place_anywhere (&entry, alpha, 10)->report.agent_id, ==,
+                    hs_id_from_name ("z"));
+  g_assert_nonnull (place_anywhere (&entry, alpha, 5000));
   hs_agent_pool_mark_queried (entry.pool, hs_id_from_name ("z"), 10);
   hs_agent_pool_mark_queried (entry.pool, hs_id_from_name ("z"), 200);
-  g_assert_nonnull (hs_agent_pool_place_flow (entry.pool, alpha, NULL, 0,
-                                              10 + HS_ANSWER_TIMEOUT_MS));
-  g_assert_null (hs_agent_pool_place_flow (entry.pool, alpha, NULL, 0,
-                                           11 + HS_ANSWER_TIMEOUT_MS));
-  g_assert_null (hs_agent_pool_place_flow (entry.pool, hs_id_from_name (BETA),
-                                           NULL, 0, 10));
+  g_assert_nonnull (place_anywhere (&entry, alpha, 10 + HS_ANSWER_TIMEOUT_MS));
+  g_assert_null (place_anywhere (&entry, alpha, 11 + HS_ANSWER_TIMEOUT_MS));
+  g_assert_null (place_anywhere (&entry, hs_id_from_name (BETA), 10));
   hs_agent_pool_expire (entry.pool, 11 + HS_POOL_AGENT_EXPIRY_MS);
   g_assert_null (hs_agent_pool_find (entry.pool, hs_id_from_name ("z")));
   talloc_free (entry.root);
