Read the regions of the zones from the setting zones

An entry gives the map to its agent pool. In the first second after its start it queues a SYN that no agent of an allowed region can take, since the agents there may not have reported yet.

--- a/src/control/group.h
+++ b/src/control/group.h
@@ -22,6 +22,7 @@
   struct hs_addrs seeds;             /* API addresses of control hosts.  */
   uint64_t seed_port;        /* Port of the control hosts' inner addresses.  */
   uint64_t tolerated_losses; /* Hosts that may be lost at once.  */
+  const char *zones;         /* For hs_region_map_create.  */
   bool bootstrap;            /* An empty data folder starts a group of the
                                 seeds.  */
   const struct hs_adapter *adapter;
--- a/src/control/group_main.c
+++ b/src/control/group_main.c
@@ -36,6 +36,8 @@
   { "tolerated-losses", HS_SETTING_UINT, "1", 0, TOLERATED_LOSSES_MAX,
     OFFSET (group.tolerated_losses),
     "control hosts that may be lost at once, with their disks" },
+  { "zones", HS_SETTING_STRING, "", 0, 0, OFFSET (group.zones),
+    "region of each availability zone: ZONE:REGION,ZONE:REGION" },
   { "bootstrap", HS_SETTING_BOOL, "0", 0, 0, OFFSET (group.bootstrap),
     "1: an empty data folder starts a new group of the seeds" },
 };
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -24,8 +24,9 @@
 #define READY_DELAY_MS 300
 
 /* Time after a start in which SYNs that cannot be placed, for lack of a
-   configuration or an agent, or since the few agents that are known are
-   overloaded, are queued and retried.  Callers give up after 1.4 s.  */
+   configuration or of an agent in an allowed region, or since the few agents
+   that are known are overloaded, are queued and retried.  Callers give up
+   after 1.4 s.  */
 #define SYN_RETRY_WINDOW_MS 1000
 
 /* A drain ends when no segment of a caller has arrived for this long.  */
@@ -72,7 +73,8 @@
   struct hs_forwarder *forwarder;
   struct hs_pending_segments *pending_segments;
   struct hs_pending_segments
-      *unplaced_syns;           /* SYNs that cannot be placed yet.  */
+      *unplaced_syns; /* SYNs that cannot be placed yet.  */
+  struct hs_region_map *region_map;
   struct hs_routing *routing;   /* Routing in force; NULL: none yet.  */
   uint8_t *configuration_bytes; /* Its encoding, uncompressed; the base of
                                    patches.  */
@@ -144,6 +146,7 @@
                               const struct hs_segment *segment,
                               const struct hs_forward_decision *decision,
                               uint64_t now);
+static bool may_be_placed_soon (const struct hs_forward_decision *decision);
 static void forward_segment (struct hs_segment_entry *entry,
                              struct hs_packet *packet,
                              const struct hs_segment *segment,
@@ -208,7 +211,11 @@
   entry->up_since = hs_clock_monotonic ();
   entry->started_at = hs_clock_wall ();
   create_metrics (entry);
-  entry->segments_fd = hs_socket_bind (&settings->segments_address, error);
+  entry->region_map = hs_region_map_create (entry, settings->zones, error);
+  entry->segments_fd
+      = entry->region_map != NULL
+            ? hs_socket_bind (&settings->segments_address, error)
+            : -1;
   if (entry->segments_fd >= 0)
     entry->node
         = hs_segment_node_create (entry, &node_settings, &node_ops, entry,
@@ -222,6 +229,7 @@
     }
   entry->pool = hs_agent_pool_create (entry->node->datapath->decision_worker,
                                       settings->zone);
+  hs_agent_pool_set_region_map (entry->pool, entry->region_map);
   entry->load_poller = hs_load_poller_create (
       entry->node->datapath->decision_worker, settings->zone, entry->pool,
       &poller_ops, entry);
@@ -707,7 +715,7 @@
   packet->fd = -1;
   if (hs_segment_is_syn (segment)
       && now - entry->up_since < SYN_RETRY_WINDOW_MS
-      && (decision->action == HS_FORWARD_DROP || decision->least_busy != NULL))
+      && may_be_placed_soon (decision))
     {
       queue_unplaced_syn (entry, packet, segment, now);
       return;
@@ -730,6 +738,15 @@
     }
 }
 
+/* Returns whether the agents that have not reported yet may be able to take
+   the flow of a SYN.  */
+static bool
+may_be_placed_soon (const struct hs_forward_decision *decision)
+{
+  return decision->action == HS_FORWARD_DROP || decision->least_busy != NULL
+         || decision->reason == HS_REASON_REGION;
+}
+
 static void
 forward_segment (struct hs_segment_entry *entry, struct hs_packet *packet,
                  const struct hs_segment *segment,
--- a/src/entry/segment_entry.h
+++ b/src/entry/segment_entry.h
@@ -12,6 +12,7 @@
 {
   const char *name;                  /* Unique in the system.  */
   const char *zone;                  /* Availability zone of this host.  */
+  const char *zones;                 /* For hs_region_map_create.  */
   struct hs_addr segments_address;   /* UDP, where callers send segments.
                                         Callers receive answers on a port of
                                         the same number.  */
@@ -30,8 +31,8 @@
 
 /* Binds the segments, inner and health addresses.  The strings and the adapter
    of SETTINGS, and LOG, must outlive the entry.  Returns NULL and sets
-   HS_ERROR_SYSTEM if an address cannot be bound.  Free it with
-   hs_segment_entry_destroy.  */
+   HS_ERROR_SYSTEM if an address cannot be bound, or HS_ERROR_INVALID if zones
+   is malformed.  Free it with hs_segment_entry_destroy.  */
 struct hs_segment_entry *
 hs_segment_entry_create (const struct hs_segment_entry_settings *settings,
                          struct hs_log *log, GError **error);
--- a/src/entry/segment_main.c
+++ b/src/entry/segment_main.c
@@ -26,6 +26,8 @@
   HS_DAEMON_SETTINGS,
   { "zone", HS_SETTING_NAME, NULL, 0, 0, OFFSET (entry.zone),
     "availability zone of this host" },
+  { "zones", HS_SETTING_STRING, "", 0, 0, OFFSET (entry.zones),
+    "region of each availability zone: ZONE:REGION,ZONE:REGION" },
   { "segments", HS_SETTING_ADDR, NULL, 0, 0, OFFSET (entry.segments_address),
     "IP:PORT to listen on for callers' segments (UDP)" },
   { "inner", HS_SETTING_ADDR, NULL, 0, 0, OFFSET (entry.inner_address),
