--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -46,7 +46,9 @@
       hs_log_write (context.log, HS_LOG_ERROR, "cannot-start", "{s:s}",
                     "error", error->message);
       hs_log_destroy (context.log);
-      return EXIT_FAILURE;
+      return g_error_matches (error, HS_ERROR, HS_ERROR_INVALID)
+                 ? HS_EXIT_USAGE
+                 : EXIT_FAILURE;
     }
   daemon->start (context.ctx);
   hs_log_write (context.log, HS_LOG_INFO, "started", "{s:s}", "name",
