--- a/src/control/group.c
+++ b/src/control/group.c
@@ -73,6 +73,9 @@
   hs_list_init (&group->pending_calls);
   create_metrics (group);
   create_decision_worker (group);
+  group->region_map = hs_region_map_create (group, settings->zones, error);
+  if (group->region_map == NULL)
+    goto fail;
   if (!open_files (group, error))
     goto fail;
   group->datagrams = hs_datagrams_create (
--- a/src/control/group_evacuations.c
+++ b/src/control/group_evacuations.c
@@ -7,6 +7,7 @@
 
 /* Types.  */
 
+#define STATUS_NOT_FOUND 404
 #define STATUS_CONFLICT 409
 #define STATUS_UNPROCESSABLE 422
 
@@ -39,6 +40,15 @@
   HS_AUTO_TALLOC uint8_t *data
       = hs_evacuation_order_encode (NULL, &call->order, &len);
 
+  if (hs_region_map_len (group->region_map) > 0
+      && hs_region_map_find (group->region_map, call->order.zone) == NULL
+      && !hs_evacuations_contain (&group->evacuations, call->order.zone))
+    {
+      hs_list_remove (&call->link);
+      hs_group_call_answer (call, STATUS_NOT_FOUND, HS_OUTCOME_NOT_RUN,
+                            "unknown zone: expected one of the setting zones");
+      return;
+    }
   call->log_index = hs_replica_propose (group->replica, data, len, now);
 }
 
--- a/src/control/group_state.h
+++ b/src/control/group_state.h
@@ -79,9 +79,10 @@
   struct hs_timer drain_timer;
   struct hs_replica *replica;
   struct hs_node_table *nodes;
-  struct hs_list pending_calls;    /* struct hs_group_call, oldest first.  */
-  struct hs_journal_job *open_job; /* Records since the last sync request of
-                                      the replica; NULL: none.  */
+  struct hs_region_map *region_map; /* Of the setting zones.  */
+  struct hs_list pending_calls;     /* struct hs_group_call, oldest first.  */
+  struct hs_journal_job *open_job;  /* Records since the last sync request of
+                                       the replica; NULL: none.  */
   bool rewrite_next; /* The next job replaces the whole journal.  */
   bool disk_failed;  /* A write failed, and no rewrite has succeeded since.  */
   bool rewrite_in_progress; /* A rewrite of the journal is queued.  */
