Limit the new flows of cold upstreams

An agent counts the new flows of its upstream in a sliding window and refuses SYNs beyond the rate that entries send, while the upstream is cold. Entries place no more flows on an agent than its load report has room for, offer a refused SYN to other agents, and reset the caller if none has room.

hs_sidecar_set_evacuated refuses the SYNs of an evacuated zone; nothing calls it yet. A load report depends on the time now, so that hs_sidecar_fill_load_report takes it; the tests follow both changed signatures.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -1086,6 +1086,11 @@
 uint64_t hs_routing_version (const struct hs_routing *routing);
 uint32_t hs_routing_flow_idle_ms (const struct hs_routing *routing);
 
+/* Returns the new flows in 1,000 s that an upstream of the service bears while
+   it is cold; 0: not limited, or an unknown service.  */
+uint32_t hs_routing_cold_flow_rate (const struct hs_routing *routing,
+                                    uint64_t service_id);
+
 /* Lifetime after which callers and upstreams give up a flow, unless a setting
    says otherwise.  */
 #define HS_FLOW_LIFETIME_DEFAULT_MS 60000
@@ -1207,13 +1212,20 @@
                                   uint64_t now);
 
 /* Chooses the agent of a service with the lowest load for a new flow and
-   counts the flow there.  EXCLUDED: ids of agents that are not to be chosen.
-   Returns NULL if no other agent accepts flows.  */
+   counts the flow there.  No more flows are placed on an agent with a cold
+   upstream than its latest report has room for.  EXCLUDED: ids of agents that
+   are not to be chosen.  Returns NULL if no other agent accepts flows and has
+   room.  */
 const struct hs_pool_agent *
 hs_agent_pool_place_flow (struct hs_agent_pool *pool, uint64_t service_id,
                           const uint64_t *excluded, size_t excluded_len,
                           uint64_t now);
 
+/* Returns whether an agent of the service accepts flows, but has no room left
+   since its upstream is cold.  */
+bool hs_agent_pool_lacks_room (const struct hs_agent_pool *pool,
+                               uint64_t service_id, uint64_t now);
+
 /* Returns the time in microseconds that a new request is expected to wait for
    a slot of the agent's upstream.  */
 uint64_t hs_pool_agent_wait_us (const struct hs_pool_agent *agent);
@@ -1447,12 +1459,15 @@
   bool is_placement;     /* TO_AGENTS: a SYN, to an agent just chosen.  */
   uint32_t wait_max_ms;  /* TO_AGENTS, a SYN: the agent refuses it if the wait
                             for a slot would be longer; 0: no limit.  */
+  uint32_t cold_flow_rate; /* TO_AGENTS, a SYN: new flows in 1,000 s that the
+                              upstream bears while it is cold; 0: no limit. */
   bool owner_only; /* TO_AGENTS: an agent drops the segment if its upstream is
                       known not to own the flow, and answers whether it owns
                       it.  */
-  const struct hs_pool_agent *least_busy; /* RESET by overload of the agents:
-                                             the one with the shortest
-                                             expected wait.  Else NULL.  */
+  const struct hs_pool_agent *least_busy; /* RESET since the agents are
+                                             overloaded or warming up: the one
+                                             with the shortest expected wait.
+                                             Else NULL.  */
   uint64_t uplink_wait_ms; /* RESET by overload of the uplink: the time that a
                               segment would wait for it.  Else 0.  */
   size_t queried_agents; /* QUEUE: agents in the first round of the lookup that
@@ -1520,8 +1535,10 @@
                     const struct hs_segment *segment, uint64_t now);
 
 /* Decides on a SYN that the agent AGENT_ID has refused for REASON: another
-   agent is tried, up to HS_SYN_AGENTS_MAX in all.  The caller is reset only if
-   no other agent has the SYN.  */
+   agent is tried, up to HS_SYN_AGENTS_MAX in all.  If none is left, the caller
+   is reset where REASON is that this upstream takes no more at present
+   (overloaded, warming up).  The caller is reset only if no other agent has
+   the SYN.  */
 struct hs_forward_decision hs_forwarder_handle_refused_syn (
     struct hs_forwarder *forwarder, const struct hs_segment *syn,
     uint64_t agent_id, enum hs_reason reason, uint64_t now);
@@ -1578,6 +1595,27 @@
    flow lasts.  */
 void hs_directory_expire (struct hs_directory *directory, uint64_t now);
 
+/* Warm-up: limits the new flows of a cold upstream by a sliding window.  At a
+   rate of one flow a second or more, no 1,050 ms have more flows than the rate
+   has in a second, rounded down; at a lower rate, two flows are as much
+   further apart.  Times are in ms of a monotonic clock.  */
+
+struct hs_warm_up;
+
+struct hs_warm_up *hs_warm_up_create (void *parent);
+void hs_warm_up_destroy (struct hs_warm_up *warm_up);
+
+/* Counts the window as full at NOW, whatever flows it had before.  */
+void hs_warm_up_fill (struct hs_warm_up *warm_up, uint64_t now);
+
+/* Counts a new flow, whether the limit applied to it or not.  */
+void hs_warm_up_count_flow (struct hs_warm_up *warm_up, uint64_t now);
+
+/* Returns the number of new flows that the window has room for at NOW, or
+   HS_COLD_ROOM_UNLIMITED.  RATE: new flows in 1,000 s; 0: no limit.  */
+uint32_t hs_warm_up_room (const struct hs_warm_up *warm_up, uint32_t rate,
+                          uint64_t now);
+
 /* Sidecar: decides what an agent does with the segments of its upstream's
    flows, and tracks the upstream's state by its heartbeats.  NOW is in ms of a
    monotonic clock.  */
@@ -1692,17 +1730,27 @@
    continue.  */
 void hs_sidecar_drain (struct hs_sidecar *sidecar);
 
+/* EVACUATED: the availability zone of the upstream is being evacuated, and
+   every new flow is refused.  Open flows continue.  After the end of an
+   evacuation the upstream counts as cold until a heartbeat that arrives 100 ms
+   later or more says whether it is.  A call that changes nothing is
+   ignored.  */
+void hs_sidecar_set_evacuated (struct hs_sidecar *sidecar, bool evacuated,
+                               uint64_t now);
+
 /* Decides on SEGMENT of a caller, which ENTRY has sent.  SERVICE_ID: the
    service that the entry names; a SYN for another service is refused.
    WAIT_MAX_MS: a SYN is refused if its request would wait longer for a slot;
-   0: no limit.  OWNER_ONLY: ENTRY looks for the owner of the flow, and the
-   segment is dropped if this upstream is known not to own it.  The lookup
-   answer is set in this decision or, if only the upstream's reply can show
-   whether it owns the flow, in the decision on that reply.  */
+   0: no limit.  COLD_FLOW_RATE: while the upstream is cold, a SYN beyond this
+   number of new flows in 1,000 s is refused; 0: no limit.  OWNER_ONLY: ENTRY
+   looks for the owner of the flow, and the segment is dropped if this upstream
+   is known not to own it.  The lookup answer is set in this decision or, if
+   only the upstream's reply can show whether it owns the flow, in the decision
+   on that reply.  */
 struct hs_sidecar_decision hs_sidecar_handle_entry_segment (
     struct hs_sidecar *sidecar, const struct hs_segment *segment,
     const struct hs_addr *entry, uint64_t service_id, uint32_t wait_max_ms,
-    bool owner_only, uint64_t now);
+    uint32_t cold_flow_rate, bool owner_only, uint64_t now);
 
 /* Returns whether the upstream owns the flow of SEGMENT, which a caller sent,
    without delivering the segment or changing any state.  HS_LOOKUP_UNKNOWN:
@@ -1723,9 +1771,10 @@
 
 /* Sets the fields of REPORT that describe the upstream and its service.  The
    agent's id, incarnation, address, zone and the sequence number are left to
-   the agent.  */
+   the agent.  The room of a cold upstream is that by the rate of the latest
+   SYN, and not limited before the first one.  */
 void hs_sidecar_fill_load_report (const struct hs_sidecar *sidecar,
-                                  struct hs_load_report *report);
+                                  struct hs_load_report *report, uint64_t now);
 
 /* Replica: one host of a control group.  The group replicates a log of
    commands by the Raft protocol: an entry is committed once a majority has it
--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -47,6 +47,7 @@
   struct hs_counter *returned;
   struct hs_counter *flows_opened;
   struct hs_counter *syns_refused;
+  struct hs_counter *syns_refused_warming_up;
   struct hs_counter *resets;
   struct hs_counter *dropped;
   struct hs_counter *flows_claimed;
@@ -55,6 +56,7 @@
   struct hs_counter *requests_in_progress;
   struct hs_counter *open_flows;
   struct hs_counter *state;
+  struct hs_counter *cold;
   struct hs_histogram *response_ms;
 };
 
@@ -200,13 +202,18 @@
                                              "SYNs sent to the upstream.");
   metrics->syns_refused = hs_counter_create (
       set, "syns_refused_total", "SYNs refused and returned to entries.");
+  metrics->syns_refused_warming_up
+      = hs_counter_create (set, "syns_refused_warming_up_total",
+                           "SYNs refused because the upstream is cold.");
   metrics->resets
       = hs_counter_create (set, "resets_total",
                            "Resets sent to callers whose upstream lost their "
                            "flow.");
-  metrics->dropped = hs_counter_create (
-      set, "segments_dropped_total",
-      "Segments dropped because this agent does not own their flow.");
+  metrics->dropped
+      = hs_counter_create (set, "segments_dropped_total",
+                           "Segments dropped because this agent does not own "
+                           "their flow, or because "
+                           "they are late copies of a SYN in an evacuation.");
   metrics->flows_claimed
       = hs_counter_create (set, "flows_claimed_total",
                            "Lookup answers that this agent owns the flow.");
@@ -222,6 +229,8 @@
       = hs_gauge_create (set, "flows", "Open flows of the upstream.");
   metrics->state = hs_gauge_create (
       set, "state", "State: 0 ready, 1 draining, 2 upstream silent.");
+  metrics->cold
+      = hs_gauge_create (set, "cold", "1 while the upstream is cold.");
   metrics->response_ms = hs_histogram_create (
       set, "answer_ms",
       "Time from a request to the start of its response, ms.");
@@ -366,7 +375,7 @@
       return;
     }
   hs_counter_add (agent->metrics.heartbeats, 1);
-  hs_sidecar_fill_load_report (agent->sidecar, &load);
+  hs_sidecar_fill_load_report (agent->sidecar, &load, now);
   if (load.state != agent->reported_state)
     {
       hs_log_write (agent->log, HS_LOG_INFO, "upstream-state",
@@ -440,6 +449,7 @@
   decision = hs_sidecar_handle_entry_segment (
       agent->sidecar, &segment, &packet->peer,
       message->segment_header.service_id, message->segment_header.wait_max_ms,
+      message->segment_header.cold_flow_rate,
       message->segment_header.owner_only || !is_for_this_agent, now);
   if (decision.action == HS_SIDECAR_REFUSE)
     decision.entry = packet->peer;
@@ -475,11 +485,12 @@
   hs_sidecar_tick (agent->sidecar, now);
   hs_directory_expire (agent->directory, now);
   hs_load_queriers_expire (agent->load_queriers, now);
-  hs_sidecar_fill_load_report (agent->sidecar, &load);
+  hs_sidecar_fill_load_report (agent->sidecar, &load, now);
   hs_counter_set (agent->metrics.requests_in_progress,
                   load.requests_in_progress);
   hs_counter_set (agent->metrics.open_flows, load.open_flows);
   hs_counter_set (agent->metrics.state, load.state);
+  hs_counter_set (agent->metrics.cold, load.cold_ms > 0);
   if (load.state != agent->reported_state)
     {
       hs_log_write (agent->log, HS_LOG_WARNING, "upstream-state", "{s:s, s:i}",
@@ -561,8 +572,11 @@
   hs_segment_node_encapsulate (agent->node, packet, &message,
                                &decision->entry);
   hs_counter_add (agent->metrics.syns_refused, 1);
+  if (decision->reason == HS_REASON_WARMING_UP)
+    hs_counter_add (agent->metrics.syns_refused_warming_up, 1);
   /* The entry has placed the flow by a report that is out of date.  */
-  if (decision->reason == HS_REASON_OVERLOADED)
+  if (decision->reason == HS_REASON_OVERLOADED
+      || decision->reason == HS_REASON_WARMING_UP)
     send_load_report (agent, &decision->entry);
 }
 
@@ -683,7 +697,7 @@
 {
   struct hs_load_report load;
 
-  hs_sidecar_fill_load_report (agent->sidecar, &load);
+  hs_sidecar_fill_load_report (agent->sidecar, &load, hs_clock_monotonic ());
   agent->reported_state = load.state;
   if (load.state != HS_AGENT_READY)
     hs_load_queriers_foreach (agent->load_queriers, send_load_report, agent);
@@ -695,7 +709,8 @@
   struct hs_segment_agent *agent = ctx;
   struct hs_inner message = { .type = HS_INNER_LOAD_REPORT };
 
-  hs_sidecar_fill_load_report (agent->sidecar, &message.load_report);
+  hs_sidecar_fill_load_report (agent->sidecar, &message.load_report,
+                               hs_clock_monotonic ());
   message.load_report.agent_id = agent->node->node_id;
   message.load_report.incarnation = agent->node->incarnation;
   message.load_report.seq = ++agent->report_seq;
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -172,7 +172,8 @@
                           const struct hs_forward_decision *decision,
                           uint64_t now);
 static void log_agent_load (struct hs_segment_entry *entry, const char *event,
-                            const char *caller, const char *address,
+                            enum hs_reason reason, const char *caller,
+                            const char *address,
                             const struct hs_pool_agent *agent, uint64_t now);
 static json_int_t routing_version (const struct hs_segment_entry *entry);
 static void update_readiness (struct hs_segment_entry *entry, uint64_t now);
@@ -750,6 +751,7 @@
   hs_counter_add (entry->metrics.forwarded, 1);
   message.segment_header.owner_only = decision->owner_only;
   message.segment_header.wait_max_ms = decision->wait_max_ms;
+  message.segment_header.cold_flow_rate = decision->cold_flow_rate;
   for (size_t i = 0; i < decision->agents_len; i++)
     {
       const struct hs_load_report *report = &decision->agents[i]->report;
@@ -890,10 +892,10 @@
   hs_addr_format (&segment->from, caller);
   hs_addr_format (&segment->to, address);
   if (decision->action == HS_FORWARD_TO_AGENTS && decision->is_placement)
-    log_agent_load (entry, "flow-placed", caller, address, decision->agents[0],
-                    now);
+    log_agent_load (entry, "flow-placed", decision->reason, caller, address,
+                    decision->agents[0], now);
   else if (decision->least_busy != NULL)
-    log_agent_load (entry, "flow-refused", caller, address,
+    log_agent_load (entry, "flow-refused", decision->reason, caller, address,
                     decision->least_busy, now);
   else
     hs_log_write (entry->log, HS_LOG_INFO,
@@ -911,21 +913,22 @@
 /* Logs EVENT, a decision made by the load of AGENT.  */
 static void
 log_agent_load (struct hs_segment_entry *entry, const char *event,
-                const char *caller, const char *address,
+                enum hs_reason reason, const char *caller, const char *address,
                 const struct hs_pool_agent *agent, uint64_t now)
 {
   char agent_address[HS_ADDR_TEXT_SIZE];
 
   hs_addr_format (&agent->report.address, agent_address);
-  hs_log_write (
-      entry->log, HS_LOG_INFO, event,
-      "{s:s, s:s, s:I, s:s, s:i, s:i, s:i, s:I, s:I, s:b}", "caller", caller,
-      "address", address, "version", routing_version (entry), "agent",
-      agent_address, "busy", (int)agent->report.requests_in_progress, "slots",
-      (int)agent->report.slots, "placed_since", (int)agent->placed_flows,
-      "wait_ms", (json_int_t)(hs_pool_agent_wait_us (agent) / 1000),
-      "report_age_ms", (json_int_t)(now - agent->last_heard_at), "in_zone",
-      agent->is_same_zone);
+  hs_log_write (entry->log, HS_LOG_INFO, event,
+                "{s:s, s:s, s:s, s:I, s:s, s:i, s:i, s:i, s:I, s:I, s:b}",
+                "reason", hs_reason_name (reason), "caller", caller, "address",
+                address, "version", routing_version (entry), "agent",
+                agent_address, "busy", (int)agent->report.requests_in_progress,
+                "slots", (int)agent->report.slots, "placed_since",
+                (int)agent->placed_flows, "wait_ms",
+                (json_int_t)(hs_pool_agent_wait_us (agent) / 1000),
+                "report_age_ms", (json_int_t)(now - agent->last_heard_at),
+                "in_zone", agent->is_same_zone);
 }
 
 static json_int_t
--- a/src/segment/agent_pool.c
+++ b/src/segment/agent_pool.c
@@ -6,7 +6,10 @@
    has placed on it since that report.  An open flow counts as the share of a
    slot that it keeps busy on average.  Traffic between availability zones is
    expensive: an agent of another zone is chosen only if its load is lower by a
-   margin.  */
+   margin.
+
+   An agent limits the new flows of its cold upstream itself.  By the room that
+   it reports, an entry avoids most of the SYNs that it would refuse.  */
 
 #include "hibiscusspan.h"
 
@@ -37,6 +40,7 @@
 /* Private functions.  */
 
 static bool may_own_flows (const struct hs_pool_agent *agent, uint64_t now);
+static bool has_room (const struct hs_pool_agent *agent);
 static bool has_heard_upstream (const struct hs_pool_agent *agent);
 static bool is_silent (const struct hs_pool_agent *agent, uint64_t timeout_ms,
                        uint64_t now);
@@ -175,6 +179,22 @@
   return best;
 }
 
+bool
+hs_agent_pool_lacks_room (const struct hs_agent_pool *pool,
+                          uint64_t service_id, uint64_t now)
+{
+  HS_LIST_FOREACH (link, &pool->agents)
+    {
+      const struct hs_pool_agent *agent
+          = HS_LIST_ENTRY (link, struct hs_pool_agent, lru_link);
+
+      if (agent->report.service_id == service_id && !has_room (agent)
+          && hs_pool_agent_accepts_flows (agent, now))
+        return true;
+    }
+  return false;
+}
+
 uint64_t
 hs_pool_agent_wait_us (const struct hs_pool_agent *agent)
 {
@@ -256,6 +276,15 @@
               && agent->report.state == HS_AGENT_UPSTREAM_SILENT);
 }
 
+/* A warm upstream has no limit, whatever its agent reports.  */
+static bool
+has_room (const struct hs_pool_agent *agent)
+{
+  return agent->report.cold_ms == 0
+         || agent->report.cold_room == HS_COLD_ROOM_UNLIMITED
+         || agent->placed_flows < agent->report.cold_room;
+}
+
 /* The number of slots is known from the upstream's first heartbeat on.  */
 static bool
 has_heard_upstream (const struct hs_pool_agent *agent)
@@ -279,8 +308,8 @@
   talloc_free (agent);
 }
 
-/* Returns the agent of a service with the lowest load whose report is at most
-   AGE_MAX_MS old, or NULL.  */
+/* Returns the agent of a service with the lowest load that has room and whose
+   report is at most AGE_MAX_MS old, or NULL.  */
 static struct hs_pool_agent *
 find_lowest_load (struct hs_agent_pool *pool, uint64_t service_id,
                   const uint64_t *excluded, size_t excluded_len,
@@ -297,7 +326,7 @@
 
       if (agent->report.service_id != service_id
           || now - agent->last_heard_at > age_max_ms
-          || !hs_pool_agent_accepts_flows (agent, now)
+          || !hs_pool_agent_accepts_flows (agent, now) || !has_room (agent)
           || is_excluded (agent->report.agent_id, excluded, excluded_len))
         continue;
       load = load_of (agent);
--- a/src/segment/forwarder.c
+++ b/src/segment/forwarder.c
@@ -59,11 +59,13 @@
 static struct hs_forward_decision
 forward_to_agent (const struct hs_pool_agent *agent, bool is_placement);
 static struct hs_forward_decision
-forward_syn (const struct hs_forwarder_flow *flow,
+forward_syn (const struct hs_forwarder *forwarder,
+             const struct hs_forwarder_flow *flow,
              const struct hs_pool_agent *agent, bool is_placement);
 static struct hs_forward_decision
-refuse_overloaded (const struct hs_forwarder *forwarder,
-                   const struct hs_forwarder_flow *flow, uint64_t now);
+refuse_flow (const struct hs_forwarder *forwarder,
+             const struct hs_forwarder_flow *flow, enum hs_reason reason,
+             uint64_t now);
 static struct hs_forward_decision
 refuse_uplink_full (const struct hs_forwarder *forwarder, uint64_t now);
 
@@ -185,9 +187,12 @@
   follow_route (flow, rule);
   decision = place_flow (forwarder, flow, now);
   /* The agents that are left could not take another flow either.  */
-  if (decision.action == HS_FORWARD_DROP
-      && (reason == HS_REASON_OVERLOADED || reason == HS_REASON_SHED))
-    return refuse_overloaded (forwarder, flow, now);
+  if (decision.action != HS_FORWARD_DROP)
+    return decision;
+  if (reason == HS_REASON_OVERLOADED || reason == HS_REASON_SHED)
+    return refuse_flow (forwarder, flow, HS_REASON_OVERLOADED, now);
+  if (reason == HS_REASON_WARMING_UP)
+    return refuse_flow (forwarder, flow, HS_REASON_WARMING_UP, now);
   return decision;
 }
 
@@ -321,7 +326,7 @@
     return hs_forward_decision_without_agents (HS_FORWARD_DROP,
                                                HS_REASON_NONE);
   if (agent != NULL && segment->ack < SYN_RETRANSMISSION_OTHER_AGENT)
-    return forward_syn (flow, agent, false);
+    return forward_syn (forwarder, flow, agent, false);
   return place_flow (forwarder, flow, now);
 }
 
@@ -345,7 +350,8 @@
 /* Sends the SYN to one more agent or, if no other agent accepts flows, to the
    latest one again.  If that one does not either, the SYN is dropped: the
    caller's next retransmission may find an agent.  The first SYN of a flow is
-   refused if the uplink or the agents are overloaded.  */
+   refused if the uplink or the agents are overloaded, or if the agents that
+   accept flows have no room since their upstreams are cold.  */
 static struct hs_forward_decision
 place_flow (struct hs_forwarder *forwarder, struct hs_forwarder_flow *flow,
             uint64_t now)
@@ -361,7 +367,7 @@
   if (flow->syn_agent_ids_len == 0
       && hs_agent_pool_is_overloaded (forwarder->pool, flow->service_id,
                                       flow->slo_ms, flow->priority, now))
-    return refuse_overloaded (forwarder, flow, now);
+    return refuse_flow (forwarder, flow, HS_REASON_OVERLOADED, now);
   for (size_t i = 0; i < flow->syn_agent_ids_len; i++)
     excluded[excluded_len++] = flow->syn_agent_ids[i];
   for (size_t i = 0; i < flow->refused_ids_len; i++)
@@ -372,23 +378,29 @@
   if (agent != NULL)
     {
       flow->syn_agent_ids[flow->syn_agent_ids_len++] = agent->report.agent_id;
-      return forward_syn (flow, agent, true);
+      return forward_syn (forwarder, flow, agent, true);
     }
   agent = find_last_syn_agent (forwarder, flow, now);
   if (agent != NULL)
-    return forward_syn (flow, agent, false);
+    return forward_syn (forwarder, flow, agent, false);
+  if (flow->syn_agent_ids_len == 0
+      && hs_agent_pool_lacks_room (forwarder->pool, flow->service_id, now))
+    return refuse_flow (forwarder, flow, HS_REASON_WARMING_UP, now);
   return hs_forward_decision_without_agents (HS_FORWARD_DROP,
                                              HS_REASON_NO_UPSTREAM);
 }
 
 static struct hs_forward_decision
-forward_syn (const struct hs_forwarder_flow *flow,
+forward_syn (const struct hs_forwarder *forwarder,
+             const struct hs_forwarder_flow *flow,
              const struct hs_pool_agent *agent, bool is_placement)
 {
   struct hs_forward_decision decision = forward_to_agent (agent, is_placement);
 
   decision.wait_max_ms = hs_overload_wait_max_ms (flow->slo_ms, flow->priority,
                                                   agent->report.mean_work_us);
+  decision.cold_flow_rate
+      = hs_routing_cold_flow_rate (forwarder->routing, flow->service_id);
   return decision;
 }
 
@@ -448,11 +460,12 @@
 }
 
 static struct hs_forward_decision
-refuse_overloaded (const struct hs_forwarder *forwarder,
-                   const struct hs_forwarder_flow *flow, uint64_t now)
+refuse_flow (const struct hs_forwarder *forwarder,
+             const struct hs_forwarder_flow *flow, enum hs_reason reason,
+             uint64_t now)
 {
-  struct hs_forward_decision decision = hs_forward_decision_without_agents (
-      HS_FORWARD_RESET, HS_REASON_OVERLOADED);
+  struct hs_forward_decision decision
+      = hs_forward_decision_without_agents (HS_FORWARD_RESET, reason);
 
   decision.least_busy
       = hs_agent_pool_least_busy (forwarder->pool, flow->service_id, now);
--- a/src/segment/routing.c
+++ b/src/segment/routing.c
@@ -13,7 +13,16 @@
   uint64_t version;
   uint32_t flow_idle_ms;
   struct hs_table *by_address;
-  struct hs_list rules; /* struct hs_routing_rule  */
+  struct hs_list rules;         /* struct hs_routing_rule  */
+  struct hs_table *cold_limits; /* struct cold_limit, by service id.  */
+};
+
+/* A service whose upstreams bear only some new flows while they are cold.  */
+struct cold_limit
+{
+  struct hs_table_node node;
+  uint64_t service_id;
+  uint32_t flow_rate; /* New flows in 1,000 s; not 0.  */
 };
 
 /* Private functions.  */
@@ -30,10 +39,13 @@
                          const char *service);
 static void add_rule (struct hs_routing *routing,
                       const struct hs_service_route *route);
+static void add_cold_limit (struct hs_routing *routing,
+                            const struct hs_configured_service *service);
 static void add_former (struct hs_routing_rule *rule, uint64_t service_id,
                         uint64_t until);
 static uint64_t address_hash (const struct hs_addr *address);
 static bool match_address (const struct hs_table_node *node, const void *key);
+static bool match_service (const struct hs_table_node *node, const void *key);
 static bool set_error (const struct hs_service_route *route,
                        const char *requirement, GError **error);
 
@@ -64,6 +76,9 @@
   hs_list_init (&routing->rules);
   for (size_t i = 0; i < configuration->routes_len; i++)
     add_rule (routing, &configuration->routes[i]);
+  routing->cold_limits = hs_table_create (routing);
+  for (size_t i = 0; i < configuration->services_len; i++)
+    add_cold_limit (routing, &configuration->services[i]);
   return routing;
 }
 
@@ -107,6 +122,18 @@
   return routing->flow_idle_ms;
 }
 
+uint32_t
+hs_routing_cold_flow_rate (const struct hs_routing *routing,
+                           uint64_t service_id)
+{
+  const struct hs_table_node *node = hs_table_find (
+      routing->cold_limits, service_id, match_service, &service_id);
+
+  return node != NULL
+             ? HS_LIST_ENTRY (node, struct cold_limit, node)->flow_rate
+             : 0;
+}
+
 const struct hs_routing_rule *
 hs_routing_find (const struct hs_routing *routing,
                  const struct hs_addr *address)
@@ -221,6 +248,20 @@
   hs_list_append (&routing->rules, &rule->link);
 }
 
+static void
+add_cold_limit (struct hs_routing *routing,
+                const struct hs_configured_service *service)
+{
+  struct cold_limit *limit;
+
+  if (service->cold_flow_rate == 0)
+    return;
+  limit = talloc_zero (routing, struct cold_limit);
+  limit->service_id = hs_id_from_name (service->name);
+  limit->flow_rate = service->cold_flow_rate;
+  hs_table_insert (routing->cold_limits, &limit->node, limit->service_id);
+}
+
 /* Does nothing if the rule has the service already, or HS_SPLITS_MAX former
    ones.  Call it for the latest services first.  */
 static void
@@ -250,6 +291,15 @@
       &HS_LIST_ENTRY (node, struct hs_routing_rule, node)->address, key);
 }
 
+static bool
+match_service (const struct hs_table_node *node, const void *key)
+{
+  const uint64_t *service_id = key;
+
+  return HS_LIST_ENTRY (node, struct cold_limit, node)->service_id
+         == *service_id;
+}
+
 static bool
 set_error (const struct hs_service_route *route, const char *requirement,
            GError **error)
--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -71,6 +71,10 @@
    is raised by one again.  */
 #define CAPACITY_PROBE_MS 500
 
+/* Time after the end of an evacuation in which a heartbeat may still have been
+   sent before it, by an upstream that did not know of the end.  */
+#define EVACUATION_END_MARGIN_MS 100
+
 /* Weight of the latest request in the moving average of the time that a
    request occupies a slot.  */
 #define WORK_EWMA_PERCENT 5
@@ -134,12 +138,18 @@
   void *ctx;
   struct hs_segment_flow_table *flows;
   bool is_draining; /* The agent stops.  */
+  bool is_evacuated;
+  struct hs_warm_up *warm_up; /* Counts the new flows.  */
+  uint32_t cold_flow_rate;    /* Of the latest SYN.  */
 
   /* State of the upstream's present incarnation.  */
   enum hs_upstream_state state;
   struct hs_heartbeat last_heartbeat;
   uint64_t last_heard_at;   /* Time of last_heartbeat, ms.  */
   uint64_t cold_until;      /* End of the slow phase after a start, ms.  */
+  bool is_assumed_cold;     /* An evacuation has ended, and no heartbeat has
+                               told since whether the upstream is cold.  */
+  uint64_t evacuated_until; /* ms, if IS_ASSUMED_COLD.  */
   uint64_t recovery_until;  /* End of the flow recovery, ms; 0: ended.  */
   uint64_t last_segment_at; /* Time of the upstream's last segment, ms.  */
   uint32_t initial_resets;  /* Resets before any other segment.  */
@@ -167,7 +177,17 @@
 static bool has_no_upstream (const struct hs_sidecar *sidecar);
 static struct hs_sidecar_decision
 handle_syn (struct hs_sidecar *sidecar, const struct hs_segment *segment,
-            const struct hs_addr *entry, uint32_t wait_max_ms, uint64_t now);
+            const struct hs_addr *entry, uint32_t wait_max_ms,
+            uint32_t cold_flow_rate, uint64_t now);
+static bool is_copy_of_syn (const struct flow *flow,
+                            const struct hs_segment *segment);
+static enum hs_reason check_syn (struct hs_sidecar *sidecar, bool is_copy,
+                                 uint32_t wait_max_ms, uint32_t cold_flow_rate,
+                                 uint64_t now);
+static struct hs_sidecar_decision refuse_evacuated (const struct flow *flow,
+                                                    bool is_copy);
+static void begin_flow (struct hs_sidecar *sidecar, struct flow *flow);
+static uint32_t cold_ms (const struct hs_sidecar *sidecar, uint64_t now);
 static bool would_wait_too_long (struct hs_sidecar *sidecar,
                                  uint32_t wait_max_ms, uint64_t now);
 static void set_syn_pending (struct hs_sidecar *sidecar, struct flow *flow,
@@ -242,6 +262,7 @@
   sidecar->flow_lifetime_ms = HS_FLOW_LIFETIME_DEFAULT_MS;
   sidecar->ops = *ops;
   sidecar->ctx = ctx;
+  sidecar->warm_up = hs_warm_up_create (sidecar);
   hs_list_init (&sidecar->active_requests);
   hs_list_init (&sidecar->pending_syns);
   sidecar->flows = hs_segment_flow_table_create (sidecar, sizeof (struct flow),
@@ -299,6 +320,8 @@
   sidecar->last_heard_at = now;
   sidecar->rejects_syns = false;
   sidecar->cold_until = now + heartbeat->cold_ms;
+  if (now >= sidecar->evacuated_until + EVACUATION_END_MARGIN_MS)
+    sidecar->is_assumed_cold = false;
   if (sidecar->state != HS_UPSTREAM_LEFT)
     sidecar->state = heartbeat->state;
   return true;
@@ -317,12 +340,25 @@
   sidecar->is_draining = true;
 }
 
+void
+hs_sidecar_set_evacuated (struct hs_sidecar *sidecar, bool evacuated,
+                          uint64_t now)
+{
+  if (sidecar->is_evacuated && !evacuated)
+    {
+      sidecar->is_assumed_cold = true;
+      sidecar->evacuated_until = now;
+    }
+  sidecar->is_evacuated = evacuated;
+}
+
 struct hs_sidecar_decision
 hs_sidecar_handle_entry_segment (struct hs_sidecar *sidecar,
                                  const struct hs_segment *segment,
                                  const struct hs_addr *entry,
                                  uint64_t service_id, uint32_t wait_max_ms,
-                                 bool owner_only, uint64_t now)
+                                 uint32_t cold_flow_rate, bool owner_only,
+                                 uint64_t now)
 {
   struct hs_segment_key key = hs_segment_key (segment, true);
   struct flow *flow;
@@ -330,7 +366,8 @@
   if (hs_segment_is_syn (segment))
     {
       if (service_id == sidecar->service_id)
-        return handle_syn (sidecar, segment, entry, wait_max_ms, now);
+        return handle_syn (sidecar, segment, entry, wait_max_ms,
+                           cold_flow_rate, now);
       return decide (HS_SIDECAR_REFUSE, HS_REASON_WRONG_SERVICE);
     }
   flow = hs_segment_flow_table_find (sidecar->flows, &key);
@@ -440,10 +477,6 @@
   raise_capacity (sidecar, now);
   if (sidecar->recovery_until != 0 && now >= sidecar->recovery_until)
     sidecar->recovery_until = 0;
-  if (sidecar->cold_until != 0 && now >= sidecar->cold_until)
-    sidecar->cold_until = 0;
-  sidecar->last_heartbeat.cold_ms
-      = sidecar->cold_until > now ? (uint32_t)(sidecar->cold_until - now) : 0;
   if (sidecar->state != HS_UPSTREAM_READY)
     return;
   if (now - sidecar->last_heard_at > silence_ms
@@ -453,7 +486,7 @@
 
 void
 hs_sidecar_fill_load_report (const struct hs_sidecar *sidecar,
-                             struct hs_load_report *report)
+                             struct hs_load_report *report, uint64_t now)
 {
   report->service_id = sidecar->service_id;
   report->state = HS_AGENT_UPSTREAM_SILENT;
@@ -465,7 +498,11 @@
   report->slots = sidecar->last_heartbeat.slots;
   report->requests_in_progress = sidecar->requests_in_progress;
   report->open_flows = sidecar->open_flows;
-  report->cold_ms = sidecar->last_heartbeat.cold_ms;
+  report->cold_ms = cold_ms (sidecar, now);
+  report->cold_room
+      = report->cold_ms > 0
+            ? hs_warm_up_room (sidecar->warm_up, sidecar->cold_flow_rate, now)
+            : HS_COLD_ROOM_UNLIMITED;
   report->mean_work_us = sidecar->mean_work_us;
   report->no_upstream = has_no_upstream (sidecar);
 }
@@ -485,38 +522,30 @@
 
 static struct hs_sidecar_decision
 handle_syn (struct hs_sidecar *sidecar, const struct hs_segment *segment,
-            const struct hs_addr *entry, uint32_t wait_max_ms, uint64_t now)
+            const struct hs_addr *entry, uint32_t wait_max_ms,
+            uint32_t cold_flow_rate, uint64_t now)
 {
   struct hs_segment_key key = hs_segment_key (segment, true);
   struct hs_sidecar_decision decision
       = decide (HS_SIDECAR_TO_UPSTREAM, HS_REASON_NONE);
   struct flow *flow = hs_segment_flow_table_find (sidecar->flows, &key);
-  bool is_copy
-      = flow != NULL && flow->syn_seq == segment->seq
-        && (flow->state == FLOW_SYN_SENT || flow->state == FLOW_SYN_ANSWERED
-            || flow->state == FLOW_OPEN);
-
-  if (sidecar->is_draining || sidecar->state == HS_UPSTREAM_DRAINING
-      || sidecar->state == HS_UPSTREAM_LEFT)
-    return decide (HS_SIDECAR_REFUSE, HS_REASON_DRAINING);
-  if (sidecar->state == HS_UPSTREAM_UNKNOWN || sidecar->rejects_syns)
-    return decide (HS_SIDECAR_REFUSE, HS_REASON_NO_UPSTREAM);
-  if (!is_copy && would_wait_too_long (sidecar, wait_max_ms, now))
-    return decide (HS_SIDECAR_REFUSE, HS_REASON_OVERLOADED);
+  bool is_copy = flow != NULL && is_copy_of_syn (flow, segment);
+  enum hs_reason reason;
+
+  sidecar->cold_flow_rate = cold_flow_rate;
+  if (sidecar->is_evacuated)
+    return refuse_evacuated (flow, is_copy);
+  reason = check_syn (sidecar, is_copy, wait_max_ms, cold_flow_rate, now);
+  if (reason != HS_REASON_NONE)
+    return decide (HS_SIDECAR_REFUSE, reason);
   flow = find_or_add_flow (sidecar, &key, now);
   if (flow->syn_seq != segment->seq || flow->state != FLOW_OPEN)
+    begin_flow (sidecar, flow);
+  if (!is_copy)
     {
-      set_request_active (sidecar, flow, false);
-      set_flow_open (sidecar, flow, false);
-      flow->state = FLOW_SYN_SENT;
-      flow->has_upstream_isn = false;
-      flow->is_recovered = false;
-      flow->has_caller_end = false;
-      flow->caller_closed = false;
-      flow->upstream_closed = false;
+      set_syn_pending (sidecar, flow, true, now);
+      hs_warm_up_count_flow (sidecar->warm_up, now);
     }
-  if (!is_copy)
-    set_syn_pending (sidecar, flow, true, now);
   flow->syn_seq = segment->seq;
   flow->entry = *entry;
   if (sidecar->syn_unanswered_since == 0)
@@ -525,6 +554,72 @@
   return decision;
 }
 
+/* Returns whether SEGMENT is a copy of the SYN of FLOW, which was accepted. */
+static bool
+is_copy_of_syn (const struct flow *flow, const struct hs_segment *segment)
+{
+  return flow->syn_seq == segment->seq
+         && (flow->state == FLOW_SYN_SENT || flow->state == FLOW_SYN_ANSWERED
+             || flow->state == FLOW_OPEN);
+}
+
+/* Returns the reason to refuse a SYN, or HS_REASON_NONE.  IS_COPY: of one that
+   was accepted.  */
+static enum hs_reason
+check_syn (struct hs_sidecar *sidecar, bool is_copy, uint32_t wait_max_ms,
+           uint32_t cold_flow_rate, uint64_t now)
+{
+  if (sidecar->is_draining || sidecar->state == HS_UPSTREAM_DRAINING
+      || sidecar->state == HS_UPSTREAM_LEFT)
+    return HS_REASON_DRAINING;
+  if (sidecar->state == HS_UPSTREAM_UNKNOWN || sidecar->rejects_syns)
+    return HS_REASON_NO_UPSTREAM;
+  if (is_copy)
+    return HS_REASON_NONE;
+  if (would_wait_too_long (sidecar, wait_max_ms, now))
+    return HS_REASON_OVERLOADED;
+  if (cold_ms (sidecar, now) > 0
+      && hs_warm_up_room (sidecar->warm_up, cold_flow_rate, now) == 0)
+    return HS_REASON_WARMING_UP;
+  return HS_REASON_NONE;
+}
+
+/* Decides on a SYN during an evacuation.  FLOW may be NULL.  A handshake that
+   the upstream has answered continues, so that a refusal, by which the entry
+   would send the SYN to another agent, is not sent.  */
+static struct hs_sidecar_decision
+refuse_evacuated (const struct flow *flow, bool is_copy)
+{
+  bool continues = is_copy && flow->state != FLOW_SYN_SENT;
+
+  return decide (continues ? HS_SIDECAR_DROP : HS_SIDECAR_REFUSE,
+                 HS_REASON_EVACUATED);
+}
+
+/* Forgets an earlier flow of the same addresses.  */
+static void
+begin_flow (struct hs_sidecar *sidecar, struct flow *flow)
+{
+  set_request_active (sidecar, flow, false);
+  set_flow_open (sidecar, flow, false);
+  flow->state = FLOW_SYN_SENT;
+  flow->has_upstream_isn = false;
+  flow->is_recovered = false;
+  flow->has_caller_end = false;
+  flow->caller_closed = false;
+  flow->upstream_closed = false;
+}
+
+/* Returns the time left until the upstream is warm, 0 if it is.  As long as it
+   is assumed to be cold, the next heartbeat is expected to tell.  */
+static uint32_t
+cold_ms (const struct hs_sidecar *sidecar, uint64_t now)
+{
+  if (sidecar->cold_until > now)
+    return (uint32_t)(sidecar->cold_until - now);
+  return sidecar->is_assumed_cold ? (uint32_t)sidecar->heartbeat_ms : 0;
+}
+
 /* Returns whether the request of a new flow would wait for a slot for longer
    than WAIT_MAX_MS (0: no limit).  */
 static bool
@@ -544,7 +639,7 @@
     }
   if (work_us == 0)
     work_us = WORK_DEFAULT_US;
-  if (sidecar->cold_until > now)
+  if (cold_ms (sidecar, now) > 0)
     work_us = work_us * HS_COLD_WORK_PERCENT / 100;
   requests = (uint64_t)sidecar->requests_in_progress
              + sidecar->pending_syns_len + 1;
@@ -734,6 +829,7 @@
                    const struct hs_heartbeat *heartbeat, uint64_t now)
 {
   bool is_first = sidecar->last_heartbeat.started_at == 0;
+  uint64_t start = sidecar->first_tick_at != 0 ? sidecar->first_tick_at : now;
 
   sidecar->state = HS_UPSTREAM_UNKNOWN;
   sidecar->recovery_until = 0;
@@ -741,8 +837,12 @@
   if (!is_first)
     discard_flows (sidecar);
   else if (heartbeat->started_at + SIMULTANEOUS_START_MS < sidecar->started_at)
-    sidecar->recovery_until
-        = now + sidecar->flow_lifetime_ms + FLOW_RECOVERY_MARGIN_MS;
+    {
+      sidecar->recovery_until
+          = now + sidecar->flow_lifetime_ms + FLOW_RECOVERY_MARGIN_MS;
+      /* An earlier process of the agent may have filled it just before.  */
+      hs_warm_up_fill (sidecar->warm_up, start);
+    }
 }
 
 static void
--- a/tests/fakes/herd.c
+++ b/tests/fakes/herd.c
@@ -227,7 +227,7 @@
   struct hs_addr from = hs_addr_from_ipv4 (0x0a010000, 7000);
   struct hs_sidecar *sidecar = sim->agents[event->agent].sidecar;
   struct hs_sidecar_decision decision = hs_sidecar_handle_entry_segment (
-      sidecar, &syn, &from, hs_id_from_name (SERVICE), event->wait_max_ms,
+      sidecar, &syn, &from, hs_id_from_name (SERVICE), event->wait_max_ms, 0,
       false, sim->now);
   struct event next = *event;
 
@@ -281,7 +281,7 @@
 
   hs_sidecar_handle_upstream_segment (sidecar, &response, sim->now);
   hs_sidecar_handle_entry_segment (
-      sidecar, &end, &from, hs_id_from_name (SERVICE), 0, false, sim->now);
+      sidecar, &end, &from, hs_id_from_name (SERVICE), 0, 0, false, sim->now);
   if (sim->agents[agent].placed > 0)
     sim->agents[agent].placed--;
 }
@@ -295,7 +295,7 @@
   struct hs_addr from = hs_addr_from_ipv4 (0x0a010000, 7000);
 
   hs_sidecar_handle_entry_segment (agent->sidecar, &data, &from,
-                                   hs_id_from_name (SERVICE), 0, false,
+                                   hs_id_from_name (SERVICE), 0, 0, false,
                                    sim->now);
   if (agent->running < SLOTS)
     start_work (sim, event->agent, event->request);
@@ -335,7 +335,7 @@
   struct event next = *event;
 
   next.type = EVENT_REPORT;
-  hs_sidecar_fill_load_report (agent->sidecar, &next.report);
+  hs_sidecar_fill_load_report (agent->sidecar, &next.report, sim->now);
   next.report.agent_id = event->agent + 1;
   next.report.incarnation = 1;
   next.report.seq = ++agent->seq;
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -273,8 +273,9 @@
 {
   struct hs_addr entry = parse_addr ("10.0.0.9:7000");
 
-  return hs_sidecar_handle_entry_segment (
-      sidecar, segment, &entry, hs_id_from_name (ALPHA), 0, owner_only, now);
+  return hs_sidecar_handle_entry_segment (sidecar, segment, &entry,
+                                          hs_id_from_name (ALPHA), 0, 0,
+                                          owner_only, now);
 }
 
 /* An agent accepts SYNs whose requests find a slot or wait for a short time,
@@ -295,7 +296,7 @@
       struct hs_segment syn = make_segment (HS_SEGMENT_SYN, port, 100, 0, 0);
 
       decision = hs_sidecar_handle_entry_segment (
-          sidecar, &syn, &entry, hs_id_from_name (ALPHA), 100, false, 10);
+          sidecar, &syn, &entry, hs_id_from_name (ALPHA), 100, 0, false, 10);
       if (decision.action == HS_SIDECAR_REFUSE)
         {
           g_assert_cmpint (decision.reason, ==, HS_REASON_OVERLOADED);
@@ -322,7 +323,7 @@
                             .to = parse_addr ("198.18.0.1:80"),
                             .flags = HS_SEGMENT_SYN,
                             .seq = 100 },
-      &entry, hs_id_from_name (ALPHA), 100, false, 150);
+      &entry, hs_id_from_name (ALPHA), 100, 0, false, 150);
   g_assert_cmpint (decision.action, ==, HS_SIDECAR_TO_UPSTREAM);
   talloc_free (root);
 }
@@ -332,7 +333,7 @@
 {
   struct hs_load_report load = { .agent_id = 0 };
 
-  hs_sidecar_fill_load_report (sidecar, &load);
+  hs_sidecar_fill_load_report (sidecar, &load, 0);
   return load;
 }
 
@@ -342,8 +343,9 @@
   struct hs_segment syn = make_segment (HS_SEGMENT_SYN, port, 100, 0, 0);
   struct hs_addr entry = parse_addr ("10.0.0.9:7000");
 
-  return hs_sidecar_handle_entry_segment (
-             sidecar, &syn, &entry, hs_id_from_name (ALPHA), 10000, false, now)
+  return hs_sidecar_handle_entry_segment (sidecar, &syn, &entry,
+                                          hs_id_from_name (ALPHA), 10000, 0,
+                                          false, now)
              .action
          == HS_SIDECAR_TO_UPSTREAM;
 }
@@ -639,7 +641,7 @@
                                         &heartbeat, NULL))
         hs_sidecar_handle_heartbeat (sidecar, &heartbeat, i, NULL);
       send_heartbeat (sidecar, HS_UPSTREAM_DRAINING, 5000, ++seq, i);
-      hs_sidecar_fill_load_report (sidecar, &load);
+      hs_sidecar_fill_load_report (sidecar, &load, i);
       g_assert_cmpint (load.state, ==, HS_AGENT_DRAINING);
       g_assert_cmpuint (load.slots, ==, 7);
     }
@@ -1973,7 +1975,7 @@
 
   send_heartbeat (sidecar, HS_UPSTREAM_READY, 2000, 1, 0);
   decision = hs_sidecar_handle_entry_segment (
-      sidecar, &syn, &entry, hs_id_from_name (BETA), 0, false, 0);
+      sidecar, &syn, &entry, hs_id_from_name (BETA), 0, 0, false, 0);
   g_assert_cmpint (decision.action, ==, HS_SIDECAR_REFUSE);
   g_assert_cmpint (decision.reason, ==, HS_REASON_WRONG_SERVICE);
   talloc_free (root);
