--- a/src/segment/warm_up.c
+++ b/src/segment/warm_up.c
@@ -29,10 +29,10 @@
 
 struct hs_warm_up
 {
-  struct hs_list admissions; /* Oldest first: those in the window, and always
-                                the latest, which the longer windows of low
-                                rates need.  At most one for each ms of the
-                                window, and one more.  */
+  struct hs_list admissions; /* Oldest first: those that were in the window of
+                                the latest, which is always kept for the longer
+                                windows of low rates.  At most one for each ms
+                                of the window.  */
   bool is_filled;
   uint64_t filled_at; /* ms, if IS_FILLED.  */
 };
@@ -125,17 +125,16 @@
                               link);
 }
 
+/* Keeps the flows of NOW, the latest.  */
 static void
 expire (struct hs_warm_up *warm_up, uint64_t now)
 {
-  const struct admission *latest = latest_admission (warm_up);
-
   HS_LIST_FOREACH (link, &warm_up->admissions)
     {
       struct admission *admission
           = HS_LIST_ENTRY (link, struct admission, link);
 
-      if (admission == latest || now < admission->at + WINDOW_MS)
+      if (now < admission->at + WINDOW_MS)
         break;
       hs_list_remove (link);
       talloc_free (admission);
--- a/tests/e2e/segment_lib.sh
+++ b/tests/e2e/segment_lib.sh
@@ -47,11 +47,13 @@
   write_settings "agent-$1" "ZONE=a" "SERVICE=alpha" "INNER=$ip:$INNER_PORT" \
     "UPSTREAM=$ip:$UPSTREAM_PORT" "OUTBOUND=$ip:$OUTBOUND_PORT" \
     "HEARTBEATS=$ip:$HEARTBEAT_PORT" "HEALTH=$ip:$HEALTH_PORT" \
-    "CALLER_AT=$ip:$SEGMENT_PORT" "HEARTBEAT_MS=300"
+    "CALLER_AT=$ip:$SEGMENT_PORT" "HEARTBEAT_MS=$HEARTBEAT_MS"
   start_with_settings "agent-$1" segment-agent
 }
 
 STARTED_AT_MS=$(date +%s%3N) # Start time of the upstreams.
+HEARTBEAT_MS=300             # Interval of heartbeats that agents expect.
+COLD_MS=0                    # Time until they are warm, by each heartbeat.
 
 # send_heartbeat N STATE SEQ -- sends a heartbeat of upstream N to its agent.
 send_heartbeat () {
@@ -59,13 +61,14 @@
   curl -s -m 1 -o /dev/null -X POST \
     "http://$ip:$HEARTBEAT_PORT/hibiscusspan/instances/i-$1/heartbeat" \
     -d "{\"service\":\"alpha\",\"address\":\"$ip:$UPSTREAM_PORT\",\"zone\":\"a\",
-\"version\":\"1\",\"slots\":8,\"state\":\"$2\",\"coldRemainingMs\":0,
+\"version\":\"1\",\"slots\":8,\"state\":\"$2\",\"coldRemainingMs\":$COLD_MS,
 \"seq\":$3,\"born\":$STARTED_AT_MS}" || true
 }
 
-# send_heartbeats -- sends heartbeats of all upstreams until it is killed.
+# send_heartbeats [SEQ] -- sends heartbeats of all upstreams, with numbers above
+# SEQ, until it is killed.
 send_heartbeats () {
-  local seq=0 n
+  local seq=${1:-0} n
   while :; do
     seq=$((seq + 1))
     for n in 1 2 3; do send_heartbeat $n ready $seq; done
--- a/tests/test_warm_up.c
+++ b/tests/test_warm_up.c
@@ -258,7 +258,7 @@
       hs_warm_up_count_flow (warm_up, now);
       hs_warm_up_count_flow (warm_up, now);
     }
-  g_assert_cmpuint (talloc_total_blocks (warm_up), <=, WINDOW_MS + 2);
+  g_assert_cmpuint (talloc_total_blocks (warm_up), <=, WINDOW_MS + 1);
   g_assert_cmpuint (hs_warm_up_room (warm_up, 3000000, 99999), ==,
                     3000 - 2 * WINDOW_MS);
   hs_warm_up_destroy (warm_up);
