--- a/src/segment/forwarder.c
+++ b/src/segment/forwarder.c
@@ -67,15 +67,17 @@
 static struct hs_forward_decision
 forward_to_agent (const struct hs_pool_agent *agent, bool is_placement);
 static struct hs_forward_decision
-forward_syn (const struct hs_forwarder_flow *flow,
+forward_syn (const struct hs_forwarder *forwarder,
+             const struct hs_forwarder_flow *flow,
              const struct hs_pool_agent *agent, bool is_placement);
 static struct hs_forward_decision
 refuse_unplaced (const struct hs_forwarder *forwarder,
                  const struct hs_forwarder_flow *flow,
                  const struct hs_flow_demand *demand, uint64_t now);
 static struct hs_forward_decision
-refuse_overloaded (const struct hs_forwarder *forwarder,
-                   const struct hs_flow_demand *demand, uint64_t now);
+refuse_flow (const struct hs_forwarder *forwarder,
+             const struct hs_flow_demand *demand, enum hs_reason reason,
+             uint64_t now);
 static struct hs_forward_decision
 refuse_uplink_full (const struct hs_forwarder *forwarder, uint64_t now);
 
@@ -199,9 +201,12 @@
   demand = demand_of (flow, rule);
   decision = place_flow (forwarder, flow, &demand, now);
   /* The agents that are left could not take another flow either.  */
-  if (decision.action == HS_FORWARD_DROP
-      && (reason == HS_REASON_OVERLOADED || reason == HS_REASON_SHED))
-    return refuse_overloaded (forwarder, &demand, now);
+  if (decision.action != HS_FORWARD_DROP)
+    return decision;
+  if (reason == HS_REASON_OVERLOADED || reason == HS_REASON_SHED)
+    return refuse_flow (forwarder, &demand, HS_REASON_OVERLOADED, now);
+  if (reason == HS_REASON_WARMING_UP)
+    return refuse_flow (forwarder, &demand, HS_REASON_WARMING_UP, now);
   return decision;
 }
 
@@ -339,7 +344,7 @@
     return hs_forward_decision_without_agents (HS_FORWARD_DROP,
                                                HS_REASON_NONE);
   if (agent != NULL && segment->ack < SYN_RETRANSMISSION_OTHER_AGENT)
-    return forward_syn (flow, agent, false);
+    return forward_syn (forwarder, flow, agent, false);
   return place_flow (forwarder, flow, demand, now);
 }
 
@@ -390,7 +395,7 @@
   if (flow->syn_agent_ids_len == 0
       && hs_agent_pool_is_overloaded (forwarder->pool, demand, flow->slo_ms,
                                       flow->priority, now))
-    return refuse_overloaded (forwarder, demand, now);
+    return refuse_flow (forwarder, demand, HS_REASON_OVERLOADED, now);
   return send_to_another_agent (forwarder, flow, demand, now);
 }
 
@@ -408,22 +413,25 @@
   if (agent != NULL)
     {
       flow->syn_agent_ids[flow->syn_agent_ids_len++] = agent->report.agent_id;
-      return forward_syn (flow, agent, true);
+      return forward_syn (forwarder, flow, agent, true);
     }
   agent = find_last_syn_agent (forwarder, flow, demand, now);
   if (agent != NULL)
-    return forward_syn (flow, agent, false);
+    return forward_syn (forwarder, flow, agent, false);
   return refuse_unplaced (forwarder, flow, demand, now);
 }
 
 static struct hs_forward_decision
-forward_syn (const struct hs_forwarder_flow *flow,
+forward_syn (const struct hs_forwarder *forwarder,
+             const struct hs_forwarder_flow *flow,
              const struct hs_pool_agent *agent, bool is_placement)
 {
   struct hs_forward_decision decision = forward_to_agent (agent, is_placement);
 
   decision.wait_max_ms = hs_overload_wait_max_ms (flow->slo_ms, flow->priority,
                                                   agent->report.mean_work_us);
+  decision.cold_flow_rate
+      = hs_routing_cold_flow_rate (forwarder->routing, flow->service_id);
   return decision;
 }
 
@@ -483,11 +491,12 @@
 }
 
 /* Decides on a SYN for which there is no agent.  If the agents of the regions
-   that the route allows are all gone, or their zones are evacuated, the caller
-   is reset: its retransmissions would find none either.  Else the SYN is
-   dropped: the caller's next retransmission may find an agent.  It is also
-   dropped if an agent that has the SYN may have accepted it, since a reset
-   means that nothing has run.  */
+   that the route allows are all gone, their zones are evacuated, or those that
+   accept flows have no room since their upstreams are cold, the caller is
+   reset: its retransmissions would find none either.  Else the SYN is dropped:
+   the caller's next retransmission may find an agent.  It is also dropped if
+   an agent that has the SYN may have accepted it, since a reset means that
+   nothing has run.  */
 static struct hs_forward_decision
 refuse_unplaced (const struct hs_forwarder *forwarder,
                  const struct hs_forwarder_flow *flow,
@@ -495,6 +504,9 @@
 {
   bool evacuated = hs_agent_pool_is_evacuated (forwarder->pool, demand, now);
 
+  if (flow->syn_agent_ids_len == 0
+      && hs_agent_pool_lacks_room (forwarder->pool, demand, now))
+    return refuse_flow (forwarder, demand, HS_REASON_WARMING_UP, now);
   if (!evacuated && !hs_agent_pool_lacks_region (forwarder->pool, demand, now))
     return hs_forward_decision_without_agents (HS_FORWARD_DROP,
                                                HS_REASON_NO_UPSTREAM);
@@ -504,11 +516,12 @@
 }
 
 static struct hs_forward_decision
-refuse_overloaded (const struct hs_forwarder *forwarder,
-                   const struct hs_flow_demand *demand, uint64_t now)
+refuse_flow (const struct hs_forwarder *forwarder,
+             const struct hs_flow_demand *demand, enum hs_reason reason,
+             uint64_t now)
 {
-  struct hs_forward_decision decision = hs_forward_decision_without_agents (
-      HS_FORWARD_RESET, HS_REASON_OVERLOADED);
+  struct hs_forward_decision decision
+      = hs_forward_decision_without_agents (HS_FORWARD_RESET, reason);
 
   decision.least_busy
       = hs_agent_pool_least_busy (forwarder->pool, demand, now);
