Review and compare configurations

hs_configuration_review finds the errors that the control group would refuse a configuration for, and likely mistakes: routes that never match, services that no route uses, limits that contradict each other. hs_configuration_compare finds the differences from another configuration.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -1038,6 +1038,79 @@
 bool hs_configuration_check (const struct hs_configuration *configuration,
                              GError **error);
 
+/* Returns a static string such as "idempotent".  */
+const char *hs_request_class_name (enum hs_request_class request_class);
+
+/* Review of a configuration before it is submitted: what is invalid, what is
+   valid but most likely a mistake, and what it would change.  */
+
+/* A flow idle timeout below this is most likely given in the wrong unit:
+   callers alone wait up to 1.4 s for the answer to a SYN.  */
+#define HS_FLOW_IDLE_MIN_MS 1000
+
+enum hs_finding_severity
+{
+  HS_FINDING_ERROR,     /* The control group refuses the configuration.  */
+  HS_FINDING_WARNING,   /* Valid, but most likely a mistake.  */
+  HS_FINDING_DIFFERENCE /* From another configuration.  */
+};
+
+enum hs_finding_kind
+{
+  HS_FINDING_INVALID,
+  HS_FINDING_ADDRESS_UNREACHABLE,
+  HS_FINDING_WEIGHT_ZERO,
+  HS_FINDING_REGION_UNKNOWN,    /* No zone is in one of a route's regions.  */
+  HS_FINDING_REGIONS_UNMATCHED, /* No zone is in any of a route's regions.  */
+  HS_FINDING_LIMIT_BELOW_OBJECTIVE,
+  HS_FINDING_OBJECTIVE_ZERO,
+  HS_FINDING_IDLE_TIMEOUT_SHORT,
+  HS_FINDING_SERVICE_UNUSED,
+  HS_FINDING_VERSION_NOT_HIGHER,
+  HS_FINDING_SETTING_CHANGED, /* A field of the configuration itself.  */
+  HS_FINDING_ROUTE_ADDED,
+  HS_FINDING_ROUTE_REMOVED,
+  HS_FINDING_ROUTE_CHANGED,
+  HS_FINDING_SERVICE_ADDED,
+  HS_FINDING_SERVICE_REMOVED,
+  HS_FINDING_SERVICE_CHANGED,
+  HS_FINDING_KIND_COUNT
+};
+
+struct hs_finding
+{
+  enum hs_finding_severity severity;
+  enum hs_finding_kind kind;
+  const char *route;   /* Name, or NULL if it concerns no single route.  */
+  const char *service; /* Name, or NULL if it concerns no single service.  */
+  const char *field;   /* Name in the JSON, or NULL.  */
+  const char *message; /* Does not repeat the place.  */
+};
+
+/* The strings in FINDING are valid during the call only.  */
+typedef void hs_finding_fn (void *ctx, const struct hs_finding *finding);
+
+/* Return static strings such as "warning" and "weight-zero".  */
+const char *hs_finding_severity_name (enum hs_finding_severity severity);
+const char *hs_finding_kind_name (enum hs_finding_kind kind);
+
+/* Calls FN for each error that hs_configuration_check finds in a route on its
+   own, or, if there is none, for the first that it finds between routes; then
+   for each warning.  REGIONS are the regions of all availability zones; if
+   there are none, the regions of routes are not checked.  */
+void hs_configuration_review (const struct hs_configuration *configuration,
+                              const char *const *regions, size_t regions_len,
+                              hs_finding_fn *fn, void *ctx);
+
+/* Calls FN for each difference of CONFIGURATION from PREVIOUS, and for a
+   warning if CONFIGURATION would not replace it since its version is not
+   higher.  Routes and services are paired by name, routes that share a name by
+   address first.  The order of routes, services and regions does not
+   matter.  */
+void hs_configuration_compare (const struct hs_configuration *configuration,
+                               const struct hs_configuration *previous,
+                               hs_finding_fn *fn, void *ctx);
+
 /* Routing: the routes of a configuration, indexed by address.  */
 
 #define HS_SPLITS_MAX 8 /* Services of a route.  */
--- a/src/document/configuration.c
+++ b/src/document/configuration.c
@@ -57,6 +57,12 @@
   return NULL;
 }
 
+const char *
+hs_request_class_name (enum hs_request_class request_class)
+{
+  return request_class_names[request_class];
+}
+
 /* Private definitions.  */
 
 static bool
