Hold SYNs at agents while their upstreams have no room

After a loss of power all callers come at once. An agent now holds SYNs that its upstream has no room for, bounded by what it expects to release, and releases them in an order: those that can still be in time as if they had just come, late ones to idle slots only.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -970,6 +970,9 @@
 struct hs_segment_key hs_segment_key (const struct hs_segment *segment,
                                       bool from_caller);
 
+/* Returns the time in ms between the first copy of SYN and this one.  */
+uint64_t hs_segment_syn_age_ms (const struct hs_segment *syn);
+
 /* Returns whether SEGMENT opens a flow: SYN is set, ACK and RST are not.  */
 bool hs_segment_is_syn (const struct hs_segment *segment);
 
@@ -1168,6 +1171,7 @@
   struct hs_addr address;
   enum hs_request_class request_class;
   uint32_t slo_ms;              /* Latency objective of a request; 0: none.  */
+  uint32_t timeout_ms;          /* Time limit of a request.  */
   uint32_t priority;            /* 0 is the highest.  */
   uint32_t total_weight;        /* Sum of the weights in SPLITS; not 0.  */
   struct hs_region_set regions; /* Of the upstreams that may get its flows.  */
@@ -1264,8 +1268,10 @@
   uint32_t mean_work_us; /* Mean time of a request in a slot; 0: not known.  */
   uint32_t work_left_us; /* Expected time in slots that the requests in
                             progress, queued ones included, still need.  */
-  uint32_t cold_room;    /* New flows that the upstream bears in the present
-                            second; HS_COLD_ROOM_UNLIMITED: no limit.  */
+  uint32_t hold_room; /* SYNs that the agent would hold while its upstream has
+                         no room.  */
+  uint32_t cold_room; /* New flows that the upstream bears in the present
+                         second; HS_COLD_ROOM_UNLIMITED: no limit.  */
   bool no_upstream; /* There is no upstream process that could own a flow.  */
   char zone[HS_NAME_SIZE];
 };
@@ -1383,6 +1389,12 @@
 hs_agent_pool_least_busy (const struct hs_agent_pool *pool,
                           const struct hs_flow_demand *demand, uint64_t now);
 
+/* Returns whether an agent that meets DEMAND would hold a SYN until its
+   upstream has room.  The agents that DEMAND excludes count as well.  */
+bool hs_agent_pool_may_hold (const struct hs_agent_pool *pool,
+                             const struct hs_flow_demand *demand,
+                             uint64_t now);
+
 /* Overload: how long a request may wait for a slot of an upstream, and how
    long it is expected to.  */
 
@@ -1407,6 +1419,13 @@
 uint32_t hs_overload_wait_max_ms (uint32_t slo_ms, uint32_t priority,
                                   uint32_t mean_work_us);
 
+/* Returns the time in ms for which the SYN of a request with the latency
+   objective SLO_MS and the limit TIMEOUT_MS may be held; 0: not at all, as an
+   answer after the objective would be too late.  WAITED_MS: time since its
+   first copy.  */
+uint32_t hs_overload_hold_max_ms (uint32_t slo_ms, uint32_t timeout_ms,
+                                  uint64_t waited_ms);
+
 /* Returns whether a new flow is to be refused, since even at the least busy
    agent, as of hs_agent_pool_least_busy, the wait for a slot would be too
    long.  False if SLO_MS is 0 or no agent accepts flows.  */
@@ -1606,6 +1625,9 @@
   bool is_placement;     /* TO_AGENTS: a SYN, to an agent just chosen.  */
   uint32_t wait_max_ms;  /* TO_AGENTS, a SYN: the agent refuses it if the wait
                             for a slot would be longer; 0: no limit.  */
+  uint32_t hold_max_ms;  /* TO_AGENTS, a SYN: an agent without room may hold it
+                            for so long; 0: it refuses it.  */
+  uint32_t priority;     /* TO_AGENTS, a SYN: of its route.  */
   uint32_t cold_flow_rate; /* TO_AGENTS, a SYN: new flows in 1,000 s that the
                               upstream bears while it is cold; 0: no limit. */
   bool owner_only; /* TO_AGENTS: an agent drops the segment if its upstream is
@@ -1763,6 +1785,65 @@
 uint32_t hs_warm_up_room (const struct hs_warm_up *warm_up, uint32_t rate,
                           uint64_t now);
 
+/* SYN queue: which of the SYNs that an agent holds is released next, and how
+   many are held.  */
+
+#define HS_HELD_SYNS_MAX 128
+
+/* A SYN that is held; embedded in the caller's own struct, which the caller
+   owns.  KEY and PRIORITY are set by the caller.  */
+struct hs_held_syn
+{
+  struct hs_list link;
+  struct hs_segment_key key;
+  uint32_t priority;      /* 0 is the highest.  */
+  uint64_t held_since;    /* ms  */
+  uint64_t in_time_until; /* ms, until when its request can meet its latency
+                             objective.  */
+  uint64_t hold_until;    /* ms  */
+};
+
+struct hs_syn_queue;
+
+struct hs_syn_queue *hs_syn_queue_create (void *parent);
+
+/* The held SYNs stay with their owner.  */
+void hs_syn_queue_destroy (struct hs_syn_queue *queue);
+size_t hs_syn_queue_len (const struct hs_syn_queue *queue);
+
+/* Returns how many more SYNs are to be held at an upstream with SLOTS (0: not
+   known), where a request takes WORK_US, if a SYN is held for HOLD_MAX_MS at
+   most.  */
+uint32_t hs_syn_queue_room (struct hs_syn_queue *queue, uint32_t slots,
+                            uint32_t work_us, uint32_t hold_max_ms,
+                            uint64_t now);
+
+/* Adds SYN, whose request can meet its latency objective for WAIT_MAX_MS and
+   is to be refused after HOLD_MAX_MS.  */
+void hs_syn_queue_hold (struct hs_syn_queue *queue, struct hs_held_syn *syn,
+                        uint32_t wait_max_ms, uint32_t hold_max_ms,
+                        uint64_t now);
+
+/* Returns the held SYN of a flow, or NULL.  */
+struct hs_held_syn *hs_syn_queue_find (const struct hs_syn_queue *queue,
+                                       const struct hs_segment_key *key);
+
+/* Returns the SYN to be released next, which stays held, or NULL.  Only if
+   HAS_IDLE_SLOT, it may be one whose request will be late.  */
+struct hs_held_syn *hs_syn_queue_next (const struct hs_syn_queue *queue,
+                                       bool has_idle_slot, uint64_t now);
+
+/* Removes a SYN and returns it: one that is to be refused by now, or NULL; the
+   oldest one, or NULL.  */
+struct hs_held_syn *hs_syn_queue_take_expired (struct hs_syn_queue *queue,
+                                               uint64_t now);
+struct hs_held_syn *hs_syn_queue_take_any (struct hs_syn_queue *queue);
+
+/* Removes SYN: it was offered to the upstream, or for another reason.  */
+void hs_syn_queue_release (struct hs_syn_queue *queue, struct hs_held_syn *syn,
+                           uint64_t now);
+void hs_syn_queue_remove (struct hs_syn_queue *queue, struct hs_held_syn *syn);
+
 /* Sidecar: decides what an agent does with the segments of its upstream's
    flows, and tracks the upstream's state by its heartbeats.  NOW is in ms of a
    monotonic clock.  */
@@ -1916,6 +1997,17 @@
 /* Removes idle flows and applies the timeouts of the upstream.  */
 void hs_sidecar_tick (struct hs_sidecar *sidecar, uint64_t now);
 
+/* Returns whether new flows are accepted if there is room.  */
+bool hs_sidecar_accepts_flows (const struct hs_sidecar *sidecar);
+
+/* Returns whether the upstream has a slot that neither a request nor one that
+   is about to come takes.  */
+bool hs_sidecar_has_idle_slot (struct hs_sidecar *sidecar, uint64_t now);
+uint32_t hs_sidecar_slots (const struct hs_sidecar *sidecar);
+
+/* Returns the expected time of a request in a slot, in microseconds.  */
+uint32_t hs_sidecar_work_us (const struct hs_sidecar *sidecar, uint64_t now);
+
 /* Sets the fields of REPORT that describe the upstream and its service.  The
    agent's id, incarnation, address, zone and the sequence number are left to
    the agent.  The room of a cold upstream is that by the rate of the latest
--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -4,6 +4,7 @@
    executes the decisions of src/segment), sender, two HTTP servers, log.  */
 
 #include "agent/segment_agent.h"
+#include "agent/held_syns.h"
 #include "agent/load_queriers.h"
 #include "base/auto.h"
 #include "daemon/segment_node.h"
@@ -58,6 +59,9 @@
   struct hs_counter *state;
   struct hs_counter *evacuated;
   struct hs_counter *cold;
+  struct hs_counter *syns_held;
+  struct hs_counter *held_syns;
+  struct hs_histogram *held_ms;
   struct hs_histogram *response_ms;
 };
 
@@ -74,6 +78,7 @@
 
   /* Used by the decision worker only.  */
   struct hs_sidecar *sidecar;
+  struct hs_held_syns *held_syns;
   struct hs_directory *directory;
   struct hs_load_queriers *load_queriers;
   uint64_t report_seq;
@@ -98,6 +103,11 @@
                                 uint64_t now);
 static void on_inner_message (void *ctx, struct hs_packet *packet,
                               const struct hs_inner *message, uint64_t now);
+static bool hold_syn (struct hs_segment_agent *agent, struct hs_packet *packet,
+                      const struct hs_inner_segment_header *header,
+                      const struct hs_segment *segment,
+                      const struct hs_sidecar_decision *decision,
+                      uint64_t now);
 static bool on_configuration (void *ctx, uint64_t base_version,
                               const uint8_t *bytes, size_t len);
 static void on_agents_changed (void *ctx);
@@ -124,6 +134,8 @@
 static void on_lookup_query (struct hs_segment_agent *agent,
                              const struct hs_segment *queried_segment,
                              const struct hs_addr *entry, uint64_t now);
+static void on_syn_released (void *ctx, const struct hs_released_syn *syn,
+                             const struct hs_sidecar_decision *decision);
 static void on_flow_lost (void *ctx, const struct hs_segment *segment);
 static void log_decision (struct hs_segment_agent *agent,
                           const struct hs_segment *segment,
@@ -236,6 +248,12 @@
       set, "evacuated", "1 if the availability zone is evacuated, else 0.");
   metrics->cold
       = hs_gauge_create (set, "cold", "1 while the upstream is cold.");
+  metrics->syns_held = hs_counter_create (
+      set, "syns_held_total",
+      "SYNs, copies included, held until the upstream has room.");
+  metrics->held_syns = hs_gauge_create (set, "held_syns", "SYNs held now.");
+  metrics->held_ms = hs_histogram_create (
+      set, "held_ms", "Time for which SYNs were held, ms.");
   metrics->response_ms = hs_histogram_create (
       set, "answer_ms",
       "Time from a request to the start of its response, ms.");
@@ -264,6 +282,7 @@
                                           on_tick,
                                           on_drain };
   struct hs_sidecar_ops sidecar_ops = { on_flow_lost };
+  struct hs_held_syns_ops held_syns_ops = { on_syn_released };
   uint64_t flow_lifetime_ms = (uint64_t)(settings->flow_lifetime_s * 1000);
   struct hs_worker *worker;
 
@@ -277,6 +296,8 @@
       worker, settings->service_name, &settings->upstream_address,
       settings->heartbeat_ms, hs_clock_wall (), &sidecar_ops, agent);
   hs_sidecar_set_flow_lifetime (agent->sidecar, flow_lifetime_ms);
+  agent->held_syns
+      = hs_held_syns_create (worker, agent->sidecar, &held_syns_ops, agent);
   agent->directory = hs_directory_create (worker, flow_lifetime_ms);
   agent->load_queriers = hs_load_queriers_create (worker);
   hs_worker_watch_ring (worker, agent->calls, on_call, agent);
@@ -418,6 +439,8 @@
     adapter->restore_segment (adapter->ctx, hs_packet_bytes (packet));
   execute_decision (agent, packet, &segment,
                     (segment.flags & HS_SEGMENT_RETURNED) != 0, &decision, 0);
+  if (decision.starts_response)
+    hs_held_syns_release (agent->held_syns, now);
 }
 
 static void
@@ -462,10 +485,53 @@
       message->segment_header.owner_only || !is_for_this_agent, now);
   if (decision.action == HS_SIDECAR_REFUSE)
     decision.entry = packet->peer;
+  if (hs_segment_is_syn (&segment)
+      && hold_syn (agent, packet, &message->segment_header, &segment,
+                   &decision, now))
+    return;
   execute_decision (agent, packet, &segment, true, &decision,
                     message->segment_header.service_id);
 }
 
+/* Returns whether the SYN in PACKET is held in place of carrying out
+   DECISION.  */
+static bool
+hold_syn (struct hs_segment_agent *agent, struct hs_packet *packet,
+          const struct hs_inner_segment_header *header,
+          const struct hs_segment *segment,
+          const struct hs_sidecar_decision *decision, uint64_t now)
+{
+  struct hs_syn_terms terms = { .entry = packet->peer,
+                                .service_id = header->service_id,
+                                .wait_max_ms = header->wait_max_ms,
+                                .hold_max_ms = header->hold_max_ms,
+                                .priority = header->priority,
+                                .cold_flow_rate = header->cold_flow_rate };
+
+  if (!hs_held_syns_filter (agent->held_syns, segment,
+                            hs_packet_bytes (packet), packet->len, &terms,
+                            decision, now))
+    return false;
+  hs_counter_add (agent->metrics.syns_held, 1);
+  return true;
+}
+
+static void
+on_syn_released (void *ctx, const struct hs_released_syn *syn,
+                 const struct hs_sidecar_decision *decision)
+{
+  struct hs_segment_agent *agent = ctx;
+  struct hs_packet *packet = hs_outbox_add (agent->node->outbox);
+
+  hs_histogram_observe (agent->metrics.held_ms, syn->held_ms);
+  if (packet == NULL)
+    return;
+  memcpy (hs_packet_bytes (packet), syn->bytes, syn->len);
+  packet->len = (uint16_t)syn->len;
+  execute_decision (agent, packet, &syn->segment, true, decision,
+                    syn->terms.service_id);
+}
+
 /* Agents fetch no configuration; load queries tell them what they need.  */
 static bool
 on_configuration (void *ctx, uint64_t base_version, const uint8_t *bytes,
@@ -502,12 +568,15 @@
   struct hs_load_report load;
 
   hs_sidecar_tick (agent->sidecar, now);
+  hs_held_syns_tick (agent->held_syns, now);
   hs_directory_expire (agent->directory, now);
   hs_load_queriers_expire (agent->load_queriers, now);
   hs_sidecar_fill_load_report (agent->sidecar, &load, now);
   hs_counter_set (agent->metrics.requests_in_progress,
                   load.requests_in_progress);
   hs_counter_set (agent->metrics.open_flows, load.open_flows);
+  hs_counter_set (agent->metrics.held_syns,
+                  hs_held_syns_len (agent->held_syns));
   hs_counter_set (agent->metrics.state, load.state);
   hs_counter_set (agent->metrics.cold, load.cold_ms > 0);
   if (load.state != agent->reported_state)
@@ -735,6 +804,8 @@
   message.load_report.incarnation = agent->node->incarnation;
   message.load_report.seq = ++agent->report_seq;
   message.load_report.address = agent->settings.inner_address;
+  message.load_report.hold_room
+      = hs_held_syns_room (agent->held_syns, hs_clock_monotonic ());
   g_strlcpy (message.load_report.zone, agent->settings.zone, HS_NAME_SIZE);
   hs_segment_node_send (agent->node, entry, &message);
 }
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -783,6 +783,8 @@
   hs_counter_add (entry->metrics.forwarded, 1);
   message.segment_header.owner_only = decision->owner_only;
   message.segment_header.wait_max_ms = decision->wait_max_ms;
+  message.segment_header.hold_max_ms = decision->hold_max_ms;
+  message.segment_header.priority = decision->priority;
   message.segment_header.cold_flow_rate = decision->cold_flow_rate;
   for (size_t i = 0; i < decision->agents_len; i++)
     {
--- a/src/segment/agent_pool.c
+++ b/src/segment/agent_pool.c
@@ -266,6 +266,24 @@
   return false;
 }
 
+bool
+hs_agent_pool_may_hold (const struct hs_agent_pool *pool,
+                        const struct hs_flow_demand *demand, uint64_t now)
+{
+  HS_LIST_FOREACH (link, &pool->agents)
+    {
+      const struct hs_pool_agent *agent
+          = HS_LIST_ENTRY (link, struct hs_pool_agent, lru_link);
+
+      if (agent->report.service_id == demand->service_id
+          && agent->report.hold_room > agent->placed_flows
+          && hs_pool_agent_accepts_flows (agent, now)
+          && hs_region_set_allows (demand->regions, agent->region_id))
+        return true;
+    }
+  return false;
+}
+
 uint64_t
 hs_pool_agent_wait_us (const struct hs_pool_agent *agent)
 {
--- a/src/segment/forwarder.c
+++ b/src/segment/forwarder.c
@@ -66,10 +66,11 @@
 static void on_pool_complete (void *ctx, struct hs_segment_flow *base);
 static struct hs_forward_decision
 forward_to_agent (const struct hs_pool_agent *agent, bool is_placement);
-static struct hs_forward_decision
-forward_syn (const struct hs_forwarder *forwarder,
-             const struct hs_forwarder_flow *flow,
-             const struct hs_pool_agent *agent, bool is_placement);
+static struct hs_forward_decision forward_syn (
+    const struct hs_forwarder *forwarder, const struct hs_forwarder_flow *flow,
+    const struct hs_pool_agent *agent, bool is_placement, uint64_t now);
+static uint32_t hold_max_ms (const struct hs_forwarder_flow *flow,
+                             uint64_t now);
 static struct hs_forward_decision
 refuse_unplaced (const struct hs_forwarder *forwarder,
                  const struct hs_forwarder_flow *flow,
@@ -293,6 +294,8 @@
   flow->request_class = rule->request_class;
   flow->slo_ms = rule->slo_ms;
   flow->priority = rule->priority;
+  flow->timeout_ms = rule->timeout_ms;
+  flow->first_syn_at = now - hs_segment_syn_age_ms (segment);
   flow->syn_seq = segment->seq;
   flow->owner_id = 0;
   flow->syn_agent_ids_len = 0;
@@ -344,7 +347,7 @@
     return hs_forward_decision_without_agents (HS_FORWARD_DROP,
                                                HS_REASON_NONE);
   if (agent != NULL && segment->ack < SYN_RETRANSMISSION_OTHER_AGENT)
-    return forward_syn (forwarder, flow, agent, false);
+    return forward_syn (forwarder, flow, agent, false, now);
   return place_flow (forwarder, flow, demand, now);
 }
 
@@ -394,7 +397,9 @@
     return refuse_uplink_full (forwarder, now);
   if (flow->syn_agent_ids_len == 0
       && hs_agent_pool_is_overloaded (forwarder->pool, demand, flow->slo_ms,
-                                      flow->priority, now))
+                                      flow->priority, now)
+      && (hold_max_ms (flow, now) == 0
+          || !hs_agent_pool_may_hold (forwarder->pool, demand, now)))
     return refuse_flow (forwarder, demand, HS_REASON_OVERLOADED, now);
   return send_to_another_agent (forwarder, flow, demand, now);
 }
@@ -413,21 +418,24 @@
   if (agent != NULL)
     {
       flow->syn_agent_ids[flow->syn_agent_ids_len++] = agent->report.agent_id;
-      return forward_syn (forwarder, flow, agent, true);
+      return forward_syn (forwarder, flow, agent, true, now);
     }
   agent = find_last_syn_agent (forwarder, flow, demand, now);
   if (agent != NULL)
-    return forward_syn (forwarder, flow, agent, false);
+    return forward_syn (forwarder, flow, agent, false, now);
   return refuse_unplaced (forwarder, flow, demand, now);
 }
 
 static struct hs_forward_decision
 forward_syn (const struct hs_forwarder *forwarder,
              const struct hs_forwarder_flow *flow,
-             const struct hs_pool_agent *agent, bool is_placement)
+             const struct hs_pool_agent *agent, bool is_placement,
+             uint64_t now)
 {
   struct hs_forward_decision decision = forward_to_agent (agent, is_placement);
 
+  decision.hold_max_ms = hold_max_ms (flow, now);
+  decision.priority = flow->priority;
   decision.wait_max_ms = hs_overload_wait_max_ms (flow->slo_ms, flow->priority,
                                                   agent->report.mean_work_us);
   decision.cold_flow_rate
@@ -490,6 +498,13 @@
   return decision;
 }
 
+static uint32_t
+hold_max_ms (const struct hs_forwarder_flow *flow, uint64_t now)
+{
+  return hs_overload_hold_max_ms (flow->slo_ms, flow->timeout_ms,
+                                  now - flow->first_syn_at);
+}
+
 /* Decides on a SYN for which there is no agent.  If the agents of the regions
    that the route allows are all gone, their zones are evacuated, or those that
    accept flows have no room since their upstreams are cold, the caller is
--- a/src/segment/forwarder_state.h
+++ b/src/segment/forwarder_state.h
@@ -36,6 +36,9 @@
   enum hs_request_class request_class; /* Taken from the route.  */
   uint32_t slo_ms;                     /* Latency objective of the route.  */
   uint32_t priority;                   /* Taken from the route.  */
+  uint32_t timeout_ms;                 /* Time limit of the route.  */
+  uint64_t first_syn_at; /* ms, when the caller sent the first copy of the
+                            latest SYN.  */
   uint32_t syn_seq;
   size_t syn_agent_ids_len;
   uint64_t syn_agent_ids[HS_SYN_AGENTS_MAX]; /* Agents that the SYN was sent
--- a/src/segment/overload.c
+++ b/src/segment/overload.c
@@ -18,6 +18,10 @@
 #define HIGH_PRIORITY_WAIT_PERCENT 60
 #define LOW_PRIORITY_WAIT_PERCENT 25
 
+/* Time after its first SYN by which a caller must be answered: it gives up
+   after 1,400 ms, and the rest covers the way of the answer.  */
+#define SYN_ANSWER_MS 1250
+
 /* Private functions.  */
 
 static uint64_t wait_max_us (uint32_t slo_ms, uint32_t priority,
@@ -48,6 +52,17 @@
   return wait_ms > 0 ? wait_ms : 1;
 }
 
+uint32_t
+hs_overload_hold_max_ms (uint32_t slo_ms, uint32_t timeout_ms,
+                         uint64_t waited_ms)
+{
+  uint64_t limit_ms = timeout_ms < SYN_ANSWER_MS ? timeout_ms : SYN_ANSWER_MS;
+
+  if (slo_ms == 0 || timeout_ms <= slo_ms || limit_ms <= waited_ms)
+    return 0;
+  return (uint32_t)(limit_ms - waited_ms);
+}
+
 bool
 hs_agent_pool_is_overloaded (const struct hs_agent_pool *pool,
                              const struct hs_flow_demand *demand,
--- a/src/segment/routing.c
+++ b/src/segment/routing.c
@@ -235,6 +235,7 @@
   rule->address = route->address;
   rule->request_class = route->request_class;
   rule->slo_ms = route->slo_ms;
+  rule->timeout_ms = route->timeout_ms;
   rule->priority = route->priority;
   add_regions (rule, route);
   rule->splits_len = route->splits_len;
--- a/src/segment/segment.c
+++ b/src/segment/segment.c
@@ -12,8 +12,21 @@
    the segments of the caller.  */
 #define FLOW_EXPIRY_MARGIN_MS 2000
 
+/* Types.  */
+
+/* Callers send copies of a SYN this long after the first, and number them.  */
+static const uint64_t syn_ages_ms[] = { 0, 200, 600 };
+
 /* Public definitions.  */
 
+uint64_t
+hs_segment_syn_age_ms (const struct hs_segment *syn)
+{
+  size_t last = G_N_ELEMENTS (syn_ages_ms) - 1;
+
+  return syn_ages_ms[syn->ack < last ? syn->ack : last];
+}
+
 uint64_t
 hs_segment_key_hash (const struct hs_segment_key *key)
 {
--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -188,6 +188,7 @@
                                                     bool is_copy);
 static void begin_flow (struct hs_sidecar *sidecar, struct flow *flow);
 static uint32_t cold_ms (const struct hs_sidecar *sidecar, uint64_t now);
+static void expire_pending_syns (struct hs_sidecar *sidecar, uint64_t now);
 static bool would_wait_too_long (struct hs_sidecar *sidecar,
                                  uint32_t wait_max_ms, uint64_t now);
 static void set_syn_pending (struct hs_sidecar *sidecar, struct flow *flow,
@@ -484,6 +485,39 @@
     sidecar->state = HS_UPSTREAM_UNKNOWN;
 }
 
+bool
+hs_sidecar_accepts_flows (const struct hs_sidecar *sidecar)
+{
+  return sidecar->state == HS_UPSTREAM_READY && !sidecar->rejects_syns
+         && !sidecar->is_draining && !sidecar->is_evacuated;
+}
+
+bool
+hs_sidecar_has_idle_slot (struct hs_sidecar *sidecar, uint64_t now)
+{
+  expire_pending_syns (sidecar, now);
+  return sidecar->requests_in_progress + sidecar->pending_syns_len
+         < hs_sidecar_slots (sidecar);
+}
+
+uint32_t
+hs_sidecar_slots (const struct hs_sidecar *sidecar)
+{
+  uint32_t slots = sidecar->last_heartbeat.slots;
+
+  return slots != 0 ? slots : HS_SLOTS_DEFAULT;
+}
+
+uint32_t
+hs_sidecar_work_us (const struct hs_sidecar *sidecar, uint64_t now)
+{
+  uint32_t work_us
+      = sidecar->mean_work_us != 0 ? sidecar->mean_work_us : WORK_DEFAULT_US;
+
+  return cold_ms (sidecar, now) > 0 ? work_us * HS_COLD_WORK_PERCENT / 100
+                                    : work_us;
+}
+
 void
 hs_sidecar_fill_load_report (const struct hs_sidecar *sidecar,
                              struct hs_load_report *report, uint64_t now)
@@ -620,15 +654,9 @@
   return sidecar->is_assumed_cold ? (uint32_t)sidecar->heartbeat_ms : 0;
 }
 
-/* Returns whether the request of a new flow would wait for a slot for longer
-   than WAIT_MAX_MS (0: no limit).  */
-static bool
-would_wait_too_long (struct hs_sidecar *sidecar, uint32_t wait_max_ms,
-                     uint64_t now)
+static void
+expire_pending_syns (struct hs_sidecar *sidecar, uint64_t now)
 {
-  uint32_t work_us = sidecar->mean_work_us;
-  uint64_t requests;
-
   HS_LIST_FOREACH (link, &sidecar->pending_syns)
     {
       struct flow *flow = HS_LIST_ENTRY (link, struct flow, pending_link);
@@ -637,10 +665,18 @@
         break;
       set_syn_pending (sidecar, flow, false, now);
     }
-  if (work_us == 0)
-    work_us = WORK_DEFAULT_US;
-  if (cold_ms (sidecar, now) > 0)
-    work_us = work_us * HS_COLD_WORK_PERCENT / 100;
+}
+
+/* Returns whether the request of a new flow would wait for a slot for longer
+   than WAIT_MAX_MS (0: no limit).  */
+static bool
+would_wait_too_long (struct hs_sidecar *sidecar, uint32_t wait_max_ms,
+                     uint64_t now)
+{
+  uint32_t work_us = hs_sidecar_work_us (sidecar, now);
+  uint64_t requests;
+
+  expire_pending_syns (sidecar, now);
   requests = (uint64_t)sidecar->requests_in_progress
              + sidecar->pending_syns_len + 1;
   if (wait_max_ms == 0)
--- a/src/wire/inner.c
+++ b/src/wire/inner.c
@@ -11,11 +11,11 @@
 #define FIXARRAY 0x90
 #define FIXARRAY_MASK 0xf0
 #define ADDR_FIELDS 2 /* IP and port.  */
-#define LOAD_FIELDS 7 /* Of the load in a LOAD_REPORT.  */
+#define LOAD_FIELDS 8 /* Of the load in a LOAD_REPORT.  */
 
 /* Elements of the array of each type, including the type itself.  */
 static const uint8_t field_counts[HS_INNER_TYPE_COUNT] = {
-  [HS_INNER_FORWARD] = 7,      [HS_INNER_REFUSED_SYN] = 7,
+  [HS_INNER_FORWARD] = 9,      [HS_INNER_REFUSED_SYN] = 9,
   [HS_INNER_OWNERSHIP] = 7,    [HS_INNER_LOAD_REPORT] = 11,
   [HS_INNER_HEARTBEAT] = 11,   [HS_INNER_STATUS] = 6,
   [HS_INNER_FETCH] = 4,        [HS_INNER_CHUNK] = 6,
@@ -110,6 +110,8 @@
       msgpack_pack_uint64 (out, inner->segment_header.service_id);
       msgpack_pack_uint64 (out, inner->segment_header.agent_id);
       msgpack_pack_uint32 (out, inner->segment_header.wait_max_ms);
+      msgpack_pack_uint32 (out, inner->segment_header.hold_max_ms);
+      msgpack_pack_uint32 (out, inner->segment_header.priority);
       msgpack_pack_uint32 (out, inner->segment_header.cold_flow_rate);
       msgpack_pack_uint8 (out, inner->segment_header.owner_only);
       msgpack_pack_uint8 (out, (uint8_t)inner->segment_header.reason);
@@ -173,6 +175,7 @@
   msgpack_pack_uint32 (out, report->open_flows);
   msgpack_pack_uint32 (out, report->cold_ms);
   msgpack_pack_uint32 (out, report->cold_room);
+  msgpack_pack_uint32 (out, report->hold_room);
   msgpack_pack_uint32 (out, report->mean_work_us);
   msgpack_pack_uint32 (out, report->work_left_us);
   msgpack_pack_uint8 (out, report->no_upstream);
@@ -244,6 +247,10 @@
       inner->segment_header.agent_id = hs_unpack_uint (in, UINT64_MAX);
       inner->segment_header.wait_max_ms
           = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
+      inner->segment_header.hold_max_ms
+          = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
+      inner->segment_header.priority
+          = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
       inner->segment_header.cold_flow_rate
           = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
       inner->segment_header.owner_only = hs_unpack_uint (in, 1) != 0;
@@ -317,6 +324,7 @@
   report->open_flows = (uint32_t)hs_unpack_uint (&load, UINT32_MAX);
   report->cold_ms = (uint32_t)hs_unpack_uint (&load, UINT32_MAX);
   report->cold_room = (uint32_t)hs_unpack_uint (&load, UINT32_MAX);
+  report->hold_room = (uint32_t)hs_unpack_uint (&load, UINT32_MAX);
   report->mean_work_us = (uint32_t)hs_unpack_uint (&load, UINT32_MAX);
   report->work_left_us = (uint32_t)hs_unpack_uint (&load, UINT32_MAX);
   in->ok = in->ok && load.ok;
--- a/src/wire/inner.h
+++ b/src/wire/inner.h
@@ -45,6 +45,9 @@
   uint64_t agent_id;    /* FORWARD: the receiver; REFUSED_SYN: the sender.  */
   uint32_t wait_max_ms; /* FORWARD of a SYN: refused if its request would wait
                            longer for a slot; 0: no limit.  */
+  uint32_t hold_max_ms; /* FORWARD of a SYN: without room, it may be held for
+                           so long before it is refused.  */
+  uint32_t priority;    /* FORWARD of a SYN: of its route.  */
   uint32_t cold_flow_rate; /* FORWARD of a SYN: new flows in 1,000 s that the
                               upstream bears while it is cold; 0: no limit.  */
   bool owner_only;       /* FORWARD: only the owner of the flow accepts it.  */
--- a/tests/test_inner.c
+++ b/tests/test_inner.c
@@ -44,6 +44,8 @@
           = (struct hs_inner_segment_header){ .service_id = UINT64_MAX,
                                               .agent_id = 7,
                                               .wait_max_ms = 150,
+                                              .hold_max_ms = 900,
+                                              .priority = 2,
                                               .cold_flow_rate = 7500,
                                               .owner_only = true,
                                               .reason = HS_REASON_SHED };
@@ -73,6 +75,7 @@
                                                    .cold_ms = 9,
                                                    .mean_work_us = 10,
                                                    .work_left_us = 11,
+                                                   .hold_room = 13,
                                                    .cold_room = 12,
                                                    .no_upstream = true,
                                                    .zone = "sic-ragusa" };
