Learn the work of each route and place flows by work left

Agents keep a histogram of slot times for each route and report the work that their upstream still has to do. Entries place a flow where it is expected to complete first.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -1206,9 +1206,9 @@
 bool hs_pool_agent_accepts_flows (const struct hs_pool_agent *agent,
                                   uint64_t now);
 
-/* Chooses the agent of a service with the lowest load for a new flow and
-   counts the flow there.  EXCLUDED: ids of agents that are not to be chosen.
-   Returns NULL if no other agent accepts flows.  */
+/* Chooses the agent of a service that is expected to complete a new request
+   first, and counts the flow there.  EXCLUDED: ids of agents that are not to
+   be chosen. Returns NULL if no other agent accepts flows.  */
 const struct hs_pool_agent *
 hs_agent_pool_place_flow (struct hs_agent_pool *pool, uint64_t service_id,
                           const uint64_t *excluded, size_t excluded_len,
@@ -1578,6 +1578,44 @@
    flow lasts.  */
 void hs_directory_expire (struct hs_directory *directory, uint64_t now);
 
+/* Cost model: the time that the requests of a route occupy a slot of an
+   upstream, learned by the agent beside that upstream.  A route is known by
+   its service address.  Both queries take constant time.  */
+
+#define HS_COST_ROUTES_MAX 64 /* The least recently sampled one is evicted.   \
+                               */
+
+/* Bounds of a sample, and of the mean that a load report can claim, us.  */
+#define HS_WORK_MIN_US 250
+#define HS_WORK_MAX_US 30000000
+
+/* Work of a request as long as none has been answered, us.  */
+#define HS_WORK_DEFAULT_US 40000
+
+struct hs_cost_model;
+
+struct hs_cost_model *hs_cost_model_create (void *parent);
+void hs_cost_model_destroy (struct hs_cost_model *model);
+
+/* Records that a request of the route of ADDRESS has occupied a slot for
+   WORK_US microseconds, which is brought within the bounds above.  */
+void hs_cost_model_add_sample (struct hs_cost_model *model,
+                               const struct hs_addr *address,
+                               uint64_t work_us);
+
+/* Returns the time in microseconds that a new request of the route of ADDRESS
+   is expected to occupy a slot.  For a route without samples it is the mean
+   over all routes, and HS_WORK_DEFAULT_US if there are no samples at all.  */
+uint32_t hs_cost_model_expected_us (const struct hs_cost_model *model,
+                                    const struct hs_addr *address);
+
+/* Returns the further time in microseconds that a request of the route of
+   ADDRESS is expected to occupy its slot if it has done so for ELAPSED_US
+   microseconds.  */
+uint32_t hs_cost_model_remaining_us (const struct hs_cost_model *model,
+                                     const struct hs_addr *address,
+                                     uint64_t elapsed_us);
+
 /* Sidecar: decides what an agent does with the segments of its upstream's
    flows, and tracks the upstream's state by its heartbeats.  NOW is in ms of a
    monotonic clock.  */
@@ -1725,7 +1763,7 @@
    agent's id, incarnation, address, zone and the sequence number are left to
    the agent.  */
 void hs_sidecar_fill_load_report (const struct hs_sidecar *sidecar,
-                                  struct hs_load_report *report);
+                                  struct hs_load_report *report, uint64_t now);
 
 /* Replica: one host of a control group.  The group replicates a log of
    commands by the Raft protocol: an entry is committed once a majority has it
--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -55,6 +55,8 @@
   struct hs_counter *requests_in_progress;
   struct hs_counter *open_flows;
   struct hs_counter *state;
+  struct hs_counter *mean_work_ms;
+  struct hs_counter *work_left_ms;
   struct hs_histogram *response_ms;
 };
 
@@ -222,6 +224,13 @@
       = hs_gauge_create (set, "flows", "Open flows of the upstream.");
   metrics->state = hs_gauge_create (
       set, "state", "State: 0 ready, 1 draining, 2 upstream silent.");
+  metrics->mean_work_ms = hs_gauge_create (
+      set, "expected_work_ms",
+      "Time that a new request is expected to occupy a slot, ms.");
+  metrics->work_left_ms
+      = hs_gauge_create (set, "work_left_ms",
+                         "Time in slots that the upstream is expected to need "
+                         "for the requests it has, ms.");
   metrics->response_ms = hs_histogram_create (
       set, "answer_ms",
       "Time from a request to the start of its response, ms.");
@@ -366,7 +375,7 @@
       return;
     }
   hs_counter_add (agent->metrics.heartbeats, 1);
-  hs_sidecar_fill_load_report (agent->sidecar, &load);
+  hs_sidecar_fill_load_report (agent->sidecar, &load, now);
   if (load.state != agent->reported_state)
     {
       hs_log_write (agent->log, HS_LOG_INFO, "upstream-state",
@@ -475,11 +484,13 @@
   hs_sidecar_tick (agent->sidecar, now);
   hs_directory_expire (agent->directory, now);
   hs_load_queriers_expire (agent->load_queriers, now);
-  hs_sidecar_fill_load_report (agent->sidecar, &load);
+  hs_sidecar_fill_load_report (agent->sidecar, &load, now);
   hs_counter_set (agent->metrics.requests_in_progress,
                   load.requests_in_progress);
   hs_counter_set (agent->metrics.open_flows, load.open_flows);
   hs_counter_set (agent->metrics.state, load.state);
+  hs_counter_set (agent->metrics.mean_work_ms, load.mean_work_us / 1000);
+  hs_counter_set (agent->metrics.work_left_ms, load.work_left_us / 1000);
   if (load.state != agent->reported_state)
     {
       hs_log_write (agent->log, HS_LOG_WARNING, "upstream-state", "{s:s, s:i}",
@@ -683,7 +694,7 @@
 {
   struct hs_load_report load;
 
-  hs_sidecar_fill_load_report (agent->sidecar, &load);
+  hs_sidecar_fill_load_report (agent->sidecar, &load, hs_clock_monotonic ());
   agent->reported_state = load.state;
   if (load.state != HS_AGENT_READY)
     hs_load_queriers_foreach (agent->load_queriers, send_load_report, agent);
@@ -695,7 +706,8 @@
   struct hs_segment_agent *agent = ctx;
   struct hs_inner message = { .type = HS_INNER_LOAD_REPORT };
 
-  hs_sidecar_fill_load_report (agent->sidecar, &message.load_report);
+  hs_sidecar_fill_load_report (agent->sidecar, &message.load_report,
+                               hs_clock_monotonic ());
   message.load_report.agent_id = agent->node->node_id;
   message.load_report.incarnation = agent->node->incarnation;
   message.load_report.seq = ++agent->report_seq;
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -919,11 +919,13 @@
   hs_addr_format (&agent->report.address, agent_address);
   hs_log_write (
       entry->log, HS_LOG_INFO, event,
-      "{s:s, s:s, s:I, s:s, s:i, s:i, s:i, s:I, s:I, s:b}", "caller", caller,
-      "address", address, "version", routing_version (entry), "agent",
+      "{s:s, s:s, s:I, s:s, s:i, s:i, s:i, s:I, s:I, s:I, s:I, s:b}", "caller",
+      caller, "address", address, "version", routing_version (entry), "agent",
       agent_address, "busy", (int)agent->report.requests_in_progress, "slots",
       (int)agent->report.slots, "placed_since", (int)agent->placed_flows,
       "wait_ms", (json_int_t)(hs_pool_agent_wait_us (agent) / 1000),
+      "work_left_ms", (json_int_t)(agent->report.work_left_us / 1000),
+      "mean_ms", (json_int_t)(agent->report.mean_work_us / 1000),
       "report_age_ms", (json_int_t)(now - agent->last_heard_at), "in_zone",
       agent->is_same_zone);
 }
--- a/src/segment/agent_pool.c
+++ b/src/segment/agent_pool.c
@@ -1,15 +1,22 @@
 /* agent_pool.c -- placement of new flows on agents by load.
 
+   The load of an agent is the time that its upstream is expected to need for a
+   new flow and all that is before it, per slot: the work left by the agent's
+   latest report, and the mean work of the agent for each flow that this entry
+   has placed on it since that report.  An upstream of twice the speed thus
+   gets twice the flows.  The unit of load is the mean work of the service, so
+   that among upstreams of the same speed the load is the number of requests
+   per slot.
+
    The load is a mix of short flows of one request each and of long flows that
-   send a request now and then.  The load of an agent counts the requests in
-   progress at its upstream by its latest report, and the flows that this entry
-   has placed on it since that report.  An open flow counts as the share of a
-   slot that it keeps busy on average.  Traffic between availability zones is
+   send a request now and then.  An open flow counts as the share of a slot
+   that it keeps busy on average.  Traffic between availability zones is
    expensive: an agent of another zone is chosen only if its load is lower by a
    margin.  */
 
 #include "hibiscusspan.h"
 
+#include <math.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -26,10 +33,27 @@
 /* Age up to which a load report is preferred to older ones.  */
 #define FRESH_REPORT_MS 300
 
+/* The mean work of an agent counts at least as this share of its service's,
+   so that an agent that answers everything at once, or reports that it does,
+   does not get all flows.  */
+#define WORK_MIN_SHARE 0.25
+
+/* A service with an agent in the pool.  Its mean work is the geometric mean of
+   that of its agents: a single wrong report hardly shifts it.  */
+struct service
+{
+  struct hs_table_node node; /* Node in the table by service id.  */
+  uint64_t service_id;
+  size_t agents;      /* With a report of this service.  */
+  size_t learned;     /* Those of them that report a mean work.  */
+  double log_work_us; /* Sum of the binary logarithms of these.  */
+};
+
 struct hs_agent_pool
 {
   char zone[HS_NAME_SIZE];
   struct hs_table *by_id;
+  struct hs_table *services;
   struct hs_list agents; /* Longest without a new flow first, so that agents of
                             equal load take turns.  */
 };
@@ -57,7 +81,19 @@
                       const struct hs_load_report *previous);
 static bool is_excluded (uint64_t agent_id, const uint64_t *excluded,
                          size_t len);
-static double load_of (const struct hs_pool_agent *agent);
+static bool match_service (const struct hs_table_node *node, const void *key);
+static struct service *find_service (const struct hs_agent_pool *pool,
+                                     uint64_t service_id);
+static void count_work (struct hs_agent_pool *pool,
+                        const struct hs_load_report *report);
+static void uncount_work (struct hs_agent_pool *pool,
+                          const struct hs_load_report *report);
+static double service_work_us (const struct hs_agent_pool *pool,
+                               uint64_t service_id);
+static uint32_t bounded_work_us (uint32_t work_us);
+static double load_of (const struct hs_pool_agent *agent, double service_us);
+static double work_left_of (const struct hs_load_report *report,
+                            double service_us);
 
 /* Public definitions.  */
 
@@ -78,6 +114,7 @@
 
   g_strlcpy (pool->zone, zone, sizeof pool->zone);
   pool->by_id = hs_table_create (pool);
+  pool->services = hs_table_create (pool);
   hs_list_init (&pool->agents);
   return pool;
 }
@@ -104,6 +141,9 @@
     }
   else if (!is_later (report, &agent->report))
     return false;
+  else
+    uncount_work (pool, &agent->report);
+  count_work (pool, report);
   changed = report->state != agent->report.state
             || report->incarnation != agent->report.incarnation;
   agent->report = *report;
@@ -179,10 +219,19 @@
 hs_pool_agent_wait_us (const struct hs_pool_agent *agent)
 {
   const struct hs_load_report *report = &agent->report;
-
-  return hs_overload_wait_us ((uint64_t)report->requests_in_progress
-                                  + agent->placed_flows + 1,
-                              report->slots, report->mean_work_us);
+  uint64_t slots = report->slots != 0 ? report->slots : HS_SLOTS_DEFAULT;
+  uint64_t requests
+      = (uint64_t)report->requests_in_progress + agent->placed_flows + 1;
+  uint64_t work_us, free_us;
+
+  if (report->work_left_us == 0 || report->mean_work_us == 0)
+    return hs_overload_wait_us (requests, report->slots, report->mean_work_us);
+  if (requests <= slots)
+    return 0;
+  work_us = report->work_left_us
+            + (uint64_t)report->mean_work_us * (agent->placed_flows + 1);
+  free_us = slots * report->mean_work_us;
+  return work_us > free_us ? (work_us - free_us) / slots : 0;
 }
 
 const struct hs_pool_agent *
@@ -274,6 +323,7 @@
 static void
 remove_agent (struct hs_agent_pool *pool, struct hs_pool_agent *agent)
 {
+  uncount_work (pool, &agent->report);
   hs_table_remove (pool->by_id, &agent->node);
   hs_list_remove (&agent->lru_link);
   talloc_free (agent);
@@ -288,6 +338,7 @@
 {
   struct hs_pool_agent *best = NULL;
   double best_load = 0;
+  double service_us = service_work_us (pool, service_id);
 
   HS_LIST_FOREACH (link, &pool->agents)
     {
@@ -300,7 +351,7 @@
           || !hs_pool_agent_accepts_flows (agent, now)
           || is_excluded (agent->report.agent_id, excluded, excluded_len))
         continue;
-      load = load_of (agent);
+      load = load_of (agent, service_us);
       if (best != NULL && load >= best_load)
         continue;
       best = agent;
@@ -370,19 +421,113 @@
   return false;
 }
 
-/* Returns the load of AGENT if a new flow were placed on it, as a share of its
-   upstream's slots.  */
+static bool
+match_service (const struct hs_table_node *node, const void *key)
+{
+  const uint64_t *service_id = key;
+
+  return HS_LIST_ENTRY (node, struct service, node)->service_id == *service_id;
+}
+
+static struct service *
+find_service (const struct hs_agent_pool *pool, uint64_t service_id)
+{
+  struct hs_table_node *node
+      = hs_table_find (pool->services, service_id, match_service, &service_id);
+
+  return node != NULL ? HS_LIST_ENTRY (node, struct service, node) : NULL;
+}
+
+static void
+count_work (struct hs_agent_pool *pool, const struct hs_load_report *report)
+{
+  struct service *service = find_service (pool, report->service_id);
+
+  if (service == NULL)
+    {
+      service = talloc_zero (pool, struct service);
+      service->service_id = report->service_id;
+      hs_table_insert (pool->services, &service->node, report->service_id);
+    }
+  service->agents++;
+  if (report->mean_work_us == 0)
+    return;
+  service->learned++;
+  service->log_work_us += log2 (bounded_work_us (report->mean_work_us));
+}
+
+/* Undoes count_work.  Rounding errors end with the last learned mean.  */
+static void
+uncount_work (struct hs_agent_pool *pool, const struct hs_load_report *report)
+{
+  struct service *service = find_service (pool, report->service_id);
+
+  if (report->mean_work_us != 0)
+    {
+      service->learned--;
+      service->log_work_us -= log2 (bounded_work_us (report->mean_work_us));
+    }
+  if (service->learned == 0)
+    service->log_work_us = 0;
+  if (--service->agents > 0)
+    return;
+  hs_table_remove (pool->services, &service->node);
+  talloc_free (service);
+}
+
+/* Returns the mean work of a service.  If none of its agents has learned its
+   mean, any value will do, as it is the unit of load.  */
 static double
-load_of (const struct hs_pool_agent *agent)
+service_work_us (const struct hs_agent_pool *pool, uint64_t service_id)
+{
+  const struct service *service = find_service (pool, service_id);
+
+  return service != NULL && service->learned > 0
+             ? exp2 (service->log_work_us / (double)service->learned)
+             : HS_WORK_DEFAULT_US;
+}
+
+static uint32_t
+bounded_work_us (uint32_t work_us)
+{
+  return CLAMP (work_us, HS_WORK_MIN_US, HS_WORK_MAX_US);
+}
+
+/* Returns the load of AGENT if a new flow were placed on it, per slot of its
+   upstream.  SERVICE_US: mean work of its service.  */
+static double
+load_of (const struct hs_pool_agent *agent, double service_us)
 {
   const struct hs_load_report *report = &agent->report;
   uint32_t slots = report->slots != 0 ? report->slots : HS_SLOTS_DEFAULT;
-  double load
-      = (report->requests_in_progress + agent->placed_flows + 1
-         + OPEN_FLOW_SLOTS * (report->open_flows + agent->placed_flows))
-        / slots;
+  double mean = report->mean_work_us != 0
+                    ? bounded_work_us (report->mean_work_us) / service_us
+                    : 1;
+  double flows
+      = agent->placed_flows + 1
+        + OPEN_FLOW_SLOTS * ((double)report->open_flows + agent->placed_flows);
+  double load = (work_left_of (report, service_us)
+                 + flows * MAX (mean, WORK_MIN_SHARE))
+                / slots;
 
   if (report->cold_ms > 0)
     load = load * HS_COLD_WORK_PERCENT / 100;
   return agent->is_same_zone ? load : load + OTHER_ZONE_PENALTY;
 }
+
+/* Returns the work left at the upstream of REPORT in units of SERVICE_US, the
+   mean work of its service.  What an agent without a learned mean reports is
+   its default, not a measure.  */
+static double
+work_left_of (const struct hs_load_report *report, double service_us)
+{
+  double requests = report->requests_in_progress;
+
+  if (report->mean_work_us == 0)
+    return requests;
+  if (report->work_left_us == 0)
+    return requests
+           * MAX (bounded_work_us (report->mean_work_us) / service_us,
+                  WORK_MIN_SHARE);
+  return MAX (report->work_left_us / service_us, requests * WORK_MIN_SHARE);
+}
--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -54,9 +54,6 @@
    a round trip to the caller, and longer if the entry has it queued.  */
 #define SYN_PENDING_MS 100
 
-/* Work of a request as long as none has been answered.  */
-#define WORK_DEFAULT_US 40000
-
 /* A request that finds all slots busy and is answered this soon has been
    rejected by the upstream, whose queue is full.  */
 #define REJECTION_MS 2
@@ -110,6 +107,10 @@
   uint64_t request_started_at; /* ms  */
   uint32_t requests_at_start;  /* Requests in progress when it started,
                                   including it.  */
+  bool has_slot;               /* The request occupies a slot.  */
+  uint64_t slot_since;         /* ms, if HAS_SLOT.  */
+  struct hs_list wait_link;    /* In waiting_requests, if REQUEST_ACTIVE and
+                                  not HAS_SLOT.  */
   bool is_open;                /* Counted in open_flows of the sidecar.  */
   struct hs_list pending_link; /* In pending_syns of the sidecar.  */
   bool is_pending;             /* PENDING_LINK is in that list.  */
@@ -150,8 +151,11 @@
                                     and sent no other segment or heartbeat
                                     since.  */
   uint32_t requests_in_progress;
-  struct hs_list active_requests; /* Flows with a request in progress, oldest
-                                     request first.  */
+  struct hs_list active_requests;  /* Flows with a request in progress, oldest
+                                      request first.  */
+  struct hs_list waiting_requests; /* Those of them whose request waits for a
+                                      slot, oldest first.  */
+  uint32_t slots_taken;            /* By the other ones.  */
   struct hs_list pending_syns; /* Flows whose first request is about to come,
                                   oldest first.  */
   uint32_t pending_syns_len;
@@ -160,6 +164,7 @@
   uint64_t capacity_changed_at; /* ms  */
   uint32_t open_flows;
   uint32_t mean_work_us; /* Mean time that a request occupies a slot.  */
+  struct hs_cost_model *costs;
 };
 
 /* Private functions.  */
@@ -206,6 +211,17 @@
                                     uint64_t now);
 static void update_mean_work (struct hs_sidecar *sidecar,
                               const struct flow *flow, uint64_t now);
+static void add_cost_sample (struct hs_sidecar *sidecar,
+                             const struct flow *flow, uint64_t now);
+static uint64_t work_us_by_share (const struct hs_sidecar *sidecar,
+                                  const struct flow *flow, uint64_t now);
+static uint32_t slots_of (const struct hs_sidecar *sidecar);
+static void assign_slots (struct hs_sidecar *sidecar, uint64_t now);
+static uint32_t work_left_us (const struct hs_sidecar *sidecar, uint64_t now);
+static uint64_t request_work_us (const struct hs_sidecar *sidecar,
+                                 const struct flow *flow, uint64_t now);
+static uint64_t pending_work_us (const struct hs_sidecar *sidecar,
+                                 uint64_t now);
 static void set_request_active (struct hs_sidecar *sidecar, struct flow *flow,
                                 bool active);
 static void begin_request (struct hs_sidecar *sidecar, struct flow *flow,
@@ -243,7 +259,9 @@
   sidecar->ops = *ops;
   sidecar->ctx = ctx;
   hs_list_init (&sidecar->active_requests);
+  hs_list_init (&sidecar->waiting_requests);
   hs_list_init (&sidecar->pending_syns);
+  sidecar->costs = hs_cost_model_create (sidecar);
   sidecar->flows = hs_segment_flow_table_create (sidecar, sizeof (struct flow),
                                                  HS_SIDECAR_FLOWS_MAX,
                                                  on_flow_removed, sidecar);
@@ -453,7 +471,7 @@
 
 void
 hs_sidecar_fill_load_report (const struct hs_sidecar *sidecar,
-                             struct hs_load_report *report)
+                             struct hs_load_report *report, uint64_t now)
 {
   report->service_id = sidecar->service_id;
   report->state = HS_AGENT_UPSTREAM_SILENT;
@@ -467,6 +485,7 @@
   report->open_flows = sidecar->open_flows;
   report->cold_ms = sidecar->last_heartbeat.cold_ms;
   report->mean_work_us = sidecar->mean_work_us;
+  report->work_left_us = work_left_us (sidecar, now);
   report->no_upstream = has_no_upstream (sidecar);
 }
 
@@ -543,7 +562,7 @@
       set_syn_pending (sidecar, flow, false, now);
     }
   if (work_us == 0)
-    work_us = WORK_DEFAULT_US;
+    work_us = HS_WORK_DEFAULT_US;
   if (sidecar->cold_until > now)
     work_us = work_us * HS_COLD_WORK_PERCENT / 100;
   requests = (uint64_t)sidecar->requests_in_progress
@@ -782,25 +801,22 @@
       if (is_rejection (sidecar, flow, now))
         lower_capacity (sidecar, flow, now);
       else if (!flow->is_uncertain_request)
-        update_mean_work (sidecar, flow, now);
+        {
+          update_mean_work (sidecar, flow, now);
+          add_cost_sample (sidecar, flow, now);
+        }
     }
   if (segment->payload_len > 0)
     set_request_active (sidecar, flow, false);
+  assign_slots (sidecar, now);
 }
 
-/* Updates the moving average.  A request that started when more requests than
-   slots were in progress had only a share of a slot, so its duration is scaled
-   by slots / requests.  */
+/* Updates the moving average.  */
 static void
 update_mean_work (struct hs_sidecar *sidecar, const struct flow *flow,
                   uint64_t now)
 {
-  uint32_t slots
-      = sidecar->last_heartbeat.slots != 0 ? sidecar->last_heartbeat.slots : 1;
-  uint32_t requests
-      = flow->requests_at_start > slots ? flow->requests_at_start : slots;
-  uint64_t work_us
-      = (now - flow->request_started_at) * 1000 * slots / requests;
+  uint64_t work_us = work_us_by_share (sidecar, flow, now);
 
   if (sidecar->mean_work_us == 0)
     sidecar->mean_work_us = (uint32_t)work_us;
@@ -810,6 +826,100 @@
                    / 100);
 }
 
+/* A request that is answered while it counts as waiting has shown that the
+   upstream does not serve its queue in order, or has more slots than is
+   known.  */
+static void
+add_cost_sample (struct hs_sidecar *sidecar, const struct flow *flow,
+                 uint64_t now)
+{
+  uint64_t work_us = flow->has_slot ? (now - flow->slot_since) * 1000
+                                    : work_us_by_share (sidecar, flow, now);
+
+  hs_cost_model_add_sample (sidecar->costs, &flow->base.key.address, work_us);
+}
+
+/* Returns the time that the request of FLOW has had of a slot.  A request that
+   started when more requests than slots were in progress had only a share of a
+   slot, so its duration is scaled by slots / requests.  */
+static uint64_t
+work_us_by_share (const struct hs_sidecar *sidecar, const struct flow *flow,
+                  uint64_t now)
+{
+  uint32_t slots = slots_of (sidecar);
+  uint32_t requests
+      = flow->requests_at_start > slots ? flow->requests_at_start : slots;
+
+  return (now - flow->request_started_at) * 1000 * slots / requests;
+}
+
+static uint32_t
+slots_of (const struct hs_sidecar *sidecar)
+{
+  return sidecar->last_heartbeat.slots != 0 ? sidecar->last_heartbeat.slots
+                                            : HS_SLOTS_DEFAULT;
+}
+
+/* Gives free slots to the requests that have waited longest, as the upstream
+   does.  */
+static void
+assign_slots (struct hs_sidecar *sidecar, uint64_t now)
+{
+  while (sidecar->slots_taken < slots_of (sidecar)
+         && !hs_list_is_empty (&sidecar->waiting_requests))
+    {
+      struct flow *flow = HS_LIST_ENTRY (
+          hs_list_pop (&sidecar->waiting_requests), struct flow, wait_link);
+
+      flow->has_slot = true;
+      flow->slot_since = now;
+      sidecar->slots_taken++;
+    }
+}
+
+/* Returns the expected time in slots that the upstream still needs for the
+   requests in progress and those about to come.  */
+static uint32_t
+work_left_us (const struct hs_sidecar *sidecar, uint64_t now)
+{
+  uint64_t sum_us = pending_work_us (sidecar, now);
+
+  HS_LIST_FOREACH (link, &sidecar->active_requests)
+    sum_us += request_work_us (
+        sidecar, HS_LIST_ENTRY (link, struct flow, request_link), now);
+  return (uint32_t)MIN (sum_us, UINT32_MAX);
+}
+
+static uint64_t
+request_work_us (const struct hs_sidecar *sidecar, const struct flow *flow,
+                 uint64_t now)
+{
+  const struct hs_addr *address = &flow->base.key.address;
+
+  if (!flow->has_slot)
+    return hs_cost_model_expected_us (sidecar->costs, address);
+  return hs_cost_model_remaining_us (
+      sidecar->costs, address,
+      now > flow->slot_since ? (now - flow->slot_since) * 1000 : 0);
+}
+
+static uint64_t
+pending_work_us (const struct hs_sidecar *sidecar, uint64_t now)
+{
+  uint64_t sum_us = 0;
+
+  HS_LIST_FOREACH (link, &sidecar->pending_syns)
+    {
+      const struct flow *flow
+          = HS_LIST_ENTRY (link, struct flow, pending_link);
+
+      if (now <= flow->syn_at + SYN_PENDING_MS)
+        sum_us += hs_cost_model_expected_us (sidecar->costs,
+                                             &flow->base.key.address);
+    }
+  return sum_us;
+}
+
 /* Returns whether SEGMENT of the upstream is the first that shows that the
    upstream owns FLOW.  A SYN+ACK alone does not: it moves the flow to
    FLOW_SYN_ANSWERED.  */
@@ -889,9 +999,17 @@
   flow->request_active = active;
   sidecar->requests_in_progress += active ? 1 : (uint32_t)-1;
   if (active)
-    hs_list_append (&sidecar->active_requests, &flow->request_link);
+    {
+      hs_list_append (&sidecar->active_requests, &flow->request_link);
+      hs_list_append (&sidecar->waiting_requests, &flow->wait_link);
+      return;
+    }
+  hs_list_remove (&flow->request_link);
+  if (flow->has_slot)
+    sidecar->slots_taken--;
   else
-    hs_list_remove (&flow->request_link);
+    hs_list_remove (&flow->wait_link);
+  flow->has_slot = false;
 }
 
 /* SEGMENT of the caller has payload.  It begins a request unless one is in
@@ -916,6 +1034,7 @@
   flow->is_uncertain_request = is_uncertain;
   flow->request_started_at = now;
   flow->requests_at_start = sidecar->requests_in_progress;
+  assign_slots (sidecar, now);
 }
 
 static void
@@ -931,6 +1050,7 @@
       if (now - flow->request_started_at > timeout_ms)
         set_request_active (sidecar, flow, false);
     }
+  assign_slots (sidecar, now);
 }
 
 static void
--- a/tests/fakes/herd.c
+++ b/tests/fakes/herd.c
@@ -335,7 +335,7 @@
   struct event next = *event;
 
   next.type = EVENT_REPORT;
-  hs_sidecar_fill_load_report (agent->sidecar, &next.report);
+  hs_sidecar_fill_load_report (agent->sidecar, &next.report, sim->now);
   next.report.agent_id = event->agent + 1;
   next.report.incarnation = 1;
   next.report.seq = ++agent->seq;
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -332,7 +332,7 @@
 {
   struct hs_load_report load = { .agent_id = 0 };
 
-  hs_sidecar_fill_load_report (sidecar, &load);
+  hs_sidecar_fill_load_report (sidecar, &load, 0);
   return load;
 }
 
@@ -639,7 +639,7 @@
                                         &heartbeat, NULL))
         hs_sidecar_handle_heartbeat (sidecar, &heartbeat, i, NULL);
       send_heartbeat (sidecar, HS_UPSTREAM_DRAINING, 5000, ++seq, i);
-      hs_sidecar_fill_load_report (sidecar, &load);
+      hs_sidecar_fill_load_report (sidecar, &load, 0);
       g_assert_cmpint (load.state, ==, HS_AGENT_DRAINING);
       g_assert_cmpuint (load.slots, ==, 7);
     }
