--- a/bench/bench_crest.c
+++ b/bench/bench_crest.c
@@ -10,9 +10,14 @@
 /* Constants.  */
 
 #define SEEDS 20
-#define PEAK_LOAD 1.3
 #define LATE_WORTH 0.5
 
+static const struct herd_load burst = { .base = 0.5, .peak = 1.3 };
+static const struct herd_load uneven
+    = { .base = 0.7, .peak = 0.9, .is_uneven = true };
+static const struct herd_load slow_down
+    = { .base = 0.7, .peak = 0.7, .is_uneven = true, .slow_from_ms = 4000 };
+
 /* Means over the seeds; shares are of the requests.  */
 struct summary
 {
@@ -24,11 +29,16 @@
   double refused;
   double refused_with_free_slot;
   double capacity;
+  double imbalance;
+  double adapt_ms;
 };
 
 /* Private functions.  */
 
-static struct summary simulate (enum herd_policy policy);
+static void bench_burst (void);
+static void bench_uneven (void);
+static struct summary simulate (const struct herd_load *load,
+                                enum herd_policy policy);
 static void print_summary (const char *name, const struct summary *summary);
 
 /* Public definitions.  */
@@ -36,11 +46,21 @@
 int
 main (void)
 {
-  struct summary present = simulate (HERD_PRESENT);
-  struct summary accepting = simulate (HERD_AGENTS_ACCEPT);
-  struct summary reports = simulate (HERD_REPORTS);
-  struct summary random = simulate (HERD_RANDOM);
-  struct summary ideal = simulate (HERD_IDEAL);
+  bench_burst ();
+  bench_uneven ();
+  return 0;
+}
+
+/* Private definitions.  */
+
+static void
+bench_burst (void)
+{
+  struct summary present = simulate (&burst, HERD_PRESENT);
+  struct summary accepting = simulate (&burst, HERD_AGENTS_ACCEPT);
+  struct summary reports = simulate (&burst, HERD_REPORTS);
+  struct summary random = simulate (&burst, HERD_RANDOM);
+  struct summary ideal = simulate (&burst, HERD_IDEAL);
 
   print_summary ("burst", &present);
   print_summary ("burst_agents_accept", &accepting);
@@ -51,19 +71,37 @@
   bench_print_row ("p99_ratio_burst", present.p99_ms / random.p99_ms, "ratio");
   bench_print_row ("refused_with_free_slot", present.refused_with_free_slot,
                    "share");
-  return 0;
 }
 
-/* Private definitions.  */
+/* Upstreams of different speeds, and a tail of work.  */
+static void
+bench_uneven (void)
+{
+  struct summary present = simulate (&uneven, HERD_PRESENT);
+  struct summary by_count = simulate (&uneven, HERD_BY_COUNT);
+  struct summary ideal = simulate (&uneven, HERD_IDEAL);
+  struct summary slowed = simulate (&slow_down, HERD_PRESENT);
+  struct summary slowed_by_count = simulate (&slow_down, HERD_BY_COUNT);
+
+  print_summary ("uneven", &present);
+  print_summary ("uneven_by_count", &by_count);
+  print_summary ("uneven_ideal", &ideal);
+  print_summary ("slow_down", &slowed);
+  print_summary ("slow_down_by_count", &slowed_by_count);
+  bench_print_row ("work_imbalance", present.imbalance, "ratio");
+  bench_print_row ("work_imbalance_by_count", by_count.imbalance, "ratio");
+  bench_print_row ("work_imbalance_ideal", ideal.imbalance, "ratio");
+  bench_print_row ("adapt_ms", slowed.adapt_ms, "ms");
+}
 
 static struct summary
-simulate (enum herd_policy policy)
+simulate (const struct herd_load *load, enum herd_policy policy)
 {
   struct summary summary = { 0 };
 
   for (uint64_t seed = 1; seed <= SEEDS; seed++)
     {
-      struct herd_result result = herd_simulate (seed, PEAK_LOAD, policy);
+      struct herd_result result = herd_simulate_load (seed, load, policy);
       double requests = result.requests;
 
       summary.worth
@@ -76,6 +114,8 @@
       summary.refused_with_free_slot
           += result.refused_with_free_slot / requests / SEEDS;
       summary.capacity += result.capacity_ratio / SEEDS;
+      summary.imbalance += result.imbalance / SEEDS;
+      summary.adapt_ms += (double)result.adapt_ms / SEEDS;
     }
   return summary;
 }
--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -1582,8 +1582,8 @@
    upstream, learned by the agent beside that upstream.  A route is known by
    its service address.  Both queries take constant time.  */
 
-#define HS_COST_ROUTES_MAX 64 /* The least recently sampled one is evicted.   \
-                               */
+/* Routes of a model; the one whose latest sample is oldest is evicted.  */
+#define HS_COST_ROUTES_MAX 64
 
 /* Bounds of a sample, and of the mean that a load report can claim, us.  */
 #define HS_WORK_MIN_US 250
--- a/tests/fakes/herd.c
+++ b/tests/fakes/herd.c
@@ -19,6 +19,13 @@
 #define QUEUE_MAX 8
 #define WORK_MS 40.0
 #define SLO_MS 300
+#define UNEVEN_WORK_MS 20.0 /* Of most requests, at speed 1.  */
+#define UNEVEN_SLO_MS 250
+#define TAIL_PERCENT 3 /* Requests that take TAIL_FACTOR times as long.  */
+#define TAIL_FACTOR 7.0
+#define SLOW_FACTOR 5.0 /* Of the upstream that slows down.  */
+#define SLOW_AGENT 0
+#define ADAPTED_FACTOR 2.5
 #define ATTEMPTS 3
 #define RETRY_MS 10
 #define INNER_DELAY_MS 1  /* Between an entry and an agent.  */
@@ -29,7 +36,7 @@
 #define TAIL_MS 2000 /* After the last request.  */
 #define PEAK_FROM_MS 4000
 #define PEAK_TO_MS 8000
-#define REQUESTS_MAX 16384
+#define REQUESTS_MAX 32768
 #define SERVICE "registro"
 #define REPORT_INTERVAL_MS 200
 
@@ -59,6 +66,7 @@
 {
   uint64_t arrived_at; /* ms  */
   unsigned int attempts;
+  double work_ms; /* At speed 1; 0: not drawn yet.  */
 };
 
 struct agent
@@ -69,6 +77,10 @@
   unsigned int placed; /* Requests placed here and not answered; HERD_RANDOM
                           and HERD_IDEAL.  */
   GQueue waiting;      /* Indexes of requests.  */
+  double speed;
+  double busy_ms;        /* Time in slots of all requests started.  */
+  double free_at[SLOTS]; /* ms, when the requests placed on each slot end;
+                            HERD_IDEAL on an uneven load.  */
 };
 
 struct simulation;
@@ -86,7 +98,12 @@
 {
   GRand *rand;
   enum herd_policy policy;
-  uint64_t now; /* ms  */
+  const struct herd_load *load;
+  double mean_work_ms; /* At speed 1.  */
+  uint32_t slo_ms;
+  uint32_t work_before_us; /* Mean work that the slow upstream reported when it
+                              slowed down.  */
+  uint64_t now;            /* ms  */
   struct hs_routing *routing;
   struct entry entries[ENTRIES];
   struct agent agents[AGENTS];
@@ -170,7 +187,67 @@
                 .agent = (size_t)decision->agents[0]->report.agent_id - 1,
                 .request = request,
                 .wait_max_ms
-                = sim->policy == HERD_PRESENT ? decision->wait_max_ms : 0 });
+                = sim->policy == HERD_PRESENT || sim->policy == HERD_BY_COUNT
+                      ? decision->wait_max_ms
+                      : 0 });
+}
+
+/* Returns the time that a request takes at AGENT.  */
+static double
+work_at (struct simulation *sim, size_t request, size_t agent)
+{
+  struct request *drawn = &sim->requests[request];
+  double base_ms = sim->load->is_uneven ? UNEVEN_WORK_MS : WORK_MS;
+
+  if (drawn->work_ms == 0)
+    {
+      drawn->work_ms
+          = -base_ms * log (g_rand_double_range (sim->rand, 0.001, 1));
+      if (sim->load->is_uneven
+          && g_rand_int_range (sim->rand, 0, 100) < TAIL_PERCENT)
+        drawn->work_ms *= TAIL_FACTOR;
+    }
+  return drawn->work_ms / sim->agents[agent].speed;
+}
+
+static double *
+first_free_slot (struct agent *agent)
+{
+  double *first = &agent->free_at[0];
+
+  for (size_t i = 1; i < SLOTS; i++)
+    if (agent->free_at[i] < *first)
+      first = &agent->free_at[i];
+  return first;
+}
+
+static double
+completion_of (struct simulation *sim, struct agent *agent)
+{
+  return MAX ((double)sim->now, *first_free_slot (agent))
+         + sim->mean_work_ms / agent->speed;
+}
+
+static size_t
+first_to_complete (struct simulation *sim)
+{
+  size_t best = 0;
+
+  for (size_t i = 1; i < AGENTS; i++)
+    if (completion_of (sim, &sim->agents[i])
+        < completion_of (sim, &sim->agents[best]))
+      best = i;
+  return best;
+}
+
+static size_t
+place_by_work (struct simulation *sim, size_t request)
+{
+  size_t agent = first_to_complete (sim);
+  double *slot = first_free_slot (&sim->agents[agent]);
+
+  *slot = MAX ((double)sim->now, *slot) + work_at (sim, request, agent);
+  return agent;
 }
 
 /* Returns the agent with the fewest requests, including those whose flow has
@@ -190,9 +267,10 @@
 static void
 place_without_entry (struct simulation *sim, size_t request)
 {
-  size_t agent = sim->policy == HERD_IDEAL
-                     ? least_busy_agent (sim)
-                     : (size_t)g_rand_int_range (sim->rand, 0, AGENTS);
+  size_t agent = sim->policy != HERD_IDEAL
+                     ? (size_t)g_rand_int_range (sim->rand, 0, AGENTS)
+                 : sim->load->is_uneven ? place_by_work (sim, request)
+                                        : least_busy_agent (sim);
 
   sim->agents[agent].placed++;
   schedule (
@@ -260,9 +338,10 @@
 static void
 start_work (struct simulation *sim, size_t agent, size_t request)
 {
-  double work = -WORK_MS * log (g_rand_double_range (sim->rand, 0.001, 1));
+  double work = work_at (sim, request, agent);
 
   sim->agents[agent].running++;
+  sim->agents[agent].busy_ms += work;
   schedule (sim, (uint64_t)work + 1,
             (struct event){
                 .type = EVENT_DONE, .agent = agent, .request = request });
@@ -319,7 +398,7 @@
   agent->running--;
   respond (sim, event->agent, event->request);
   g_array_append_val (sim->latencies, latency_ms);
-  if (latency_ms <= SLO_MS)
+  if (latency_ms <= sim->slo_ms)
     sim->result.in_time++;
   else
     sim->result.late++;
@@ -348,10 +427,16 @@
 on_report (struct simulation *sim, const struct event *event)
 {
   struct entry *entry = &sim->entries[event->entry];
+  struct hs_load_report report = event->report;
 
+  if (sim->policy == HERD_BY_COUNT)
+    {
+      report.work_left_us = 0;
+      report.mean_work_us = (uint32_t)(sim->mean_work_ms * 1000);
+    }
   if (sim->policy == HERD_REPORTS
-      || hs_load_poller_handle_report (entry->poller, &event->report))
-    hs_agent_pool_update (entry->pool, &event->report, sim->now);
+      || hs_load_poller_handle_report (entry->poller, &report))
+    hs_agent_pool_update (entry->pool, &report, sim->now);
 }
 
 static void
@@ -485,11 +570,14 @@
       sim->agents[i].sidecar = hs_sidecar_create (
           sim, SERVICE, &sim->addresses[i], HEARTBEAT_MS, 1, &ops, NULL);
       g_queue_init (&sim->agents[i].waiting);
+      sim->agents[i].speed = !sim->load->is_uneven ? 1
+                             : i % 3 == 2          ? 1.7
+                                                   : 0.7;
     }
 }
 
 static struct hs_routing *
-create_routing (void *parent)
+create_routing (void *parent, uint32_t slo_ms)
 {
   struct hs_traffic_split split = { SERVICE, 1 };
   struct hs_service_route route
@@ -497,7 +585,7 @@
           .address = hs_addr_from_ipv4 (0xc6120001, 80),
           .request_class = HS_REQUEST_CLASS_ONCE,
           .timeout_ms = 3000,
-          .slo_ms = SLO_MS,
+          .slo_ms = slo_ms,
           .priority = 1,
           .splits_len = 1,
           .splits = &split };
@@ -542,9 +630,32 @@
                            .type = EVENT_QUERY, .entry = k, .agent = i });
 }
 
+/* Slows an upstream down when it is due, and records when its agent has seen
+   that.  */
+static void
+slow_down (struct simulation *sim)
+{
+  uint64_t slow_from_ms = sim->load->slow_from_ms;
+  struct agent *agent = &sim->agents[SLOW_AGENT];
+  struct hs_load_report report;
+
+  if (slow_from_ms == 0 || sim->now < slow_from_ms
+      || sim->result.adapt_ms != 0)
+    return;
+  hs_sidecar_fill_load_report (agent->sidecar, &report, sim->now);
+  if (sim->now == slow_from_ms)
+    {
+      sim->work_before_us = report.mean_work_us;
+      agent->speed /= SLOW_FACTOR;
+    }
+  if (report.mean_work_us > ADAPTED_FACTOR * sim->work_before_us)
+    sim->result.adapt_ms = sim->now - slow_from_ms;
+}
+
 static void
 tick (struct simulation *sim)
 {
+  slow_down (sim);
   if (sim->now % HEARTBEAT_MS == 0)
     send_heartbeats (sim);
   if (sim->now % TICK_MS == 0)
@@ -597,48 +708,101 @@
   talloc_free (sim);
 }
 
-/* Public definitions.  */
+static double
+total_speed (const struct simulation *sim)
+{
+  double sum = 0;
 
-struct herd_result
-herd_simulate (uint64_t seed, double peak_load, enum herd_policy policy)
+  for (size_t i = 0; i < AGENTS; i++)
+    sum += sim->agents[i].speed;
+  return sum;
+}
+
+static double
+imbalance (const struct simulation *sim)
+{
+  double busiest_ms = 0;
+  double sum_ms = 0;
+
+  for (size_t i = 0; i < AGENTS; i++)
+    {
+      busiest_ms = MAX (busiest_ms, sim->agents[i].busy_ms);
+      sum_ms += sim->agents[i].busy_ms;
+    }
+  return busiest_ms / (sum_ms / AGENTS);
+}
+
+static struct simulation *
+create_simulation (uint64_t seed, const struct herd_load *load,
+                   enum herd_policy policy)
 {
   struct simulation *sim = talloc_zero (NULL, struct simulation);
-  double capacity = AGENTS * SLOTS / WORK_MS; /* Requests per ms.  */
-  double peak_excess
-      = (peak_load - 1) * capacity * (PEAK_TO_MS - PEAK_FROM_MS);
-  double requests_due = 0;
-  struct herd_result result;
+  double tail_factor = 1 + TAIL_PERCENT / 100.0 * (TAIL_FACTOR - 1);
 
   sim->rand = g_rand_new_with_seed ((guint32)seed);
   sim->policy = policy;
+  sim->load = load;
+  sim->mean_work_ms = load->is_uneven ? UNEVEN_WORK_MS * tail_factor : WORK_MS;
+  sim->slo_ms = load->is_uneven ? UNEVEN_SLO_MS : SLO_MS;
   sim->latencies = g_array_new (FALSE, FALSE, sizeof (double));
   for (size_t i = 0; i < DURATION_MS + TAIL_MS; i++)
     g_queue_init (&sim->events[i]);
-  sim->routing = create_routing (sim);
+  sim->routing = create_routing (sim, sim->slo_ms);
   create_agents (sim);
   create_entries (sim);
+  return sim;
+}
+
+static void
+add_requests (struct simulation *sim, double requests_due)
+{
+  while (sim->result.requests < (unsigned int)requests_due)
+    {
+      size_t request = sim->result.requests++;
+
+      g_assert_cmpuint (request, <, REQUESTS_MAX);
+      sim->requests[request].arrived_at = sim->now;
+      attempt (sim, request);
+    }
+}
+
+/* Public definitions.  */
+
+struct herd_result
+herd_simulate (uint64_t seed, double peak_load, enum herd_policy policy)
+{
+  return herd_simulate_load (
+      seed, &(struct herd_load){ .base = 0.5, .peak = peak_load }, policy);
+}
+
+struct herd_result
+herd_simulate_load (uint64_t seed, const struct herd_load *load,
+                    enum herd_policy policy)
+{
+  struct simulation *sim = create_simulation (seed, load, policy);
+  /* Requests per ms.  */
+  double capacity = total_speed (sim) * SLOTS / sim->mean_work_ms;
+  double peak_excess
+      = (load->peak - 1) * capacity * (PEAK_TO_MS - PEAK_FROM_MS);
+  double requests_due = 0;
+  struct herd_result result;
+
   for (; sim->now < DURATION_MS + TAIL_MS; sim->now++)
     {
       bool is_peak = sim->now >= PEAK_FROM_MS && sim->now < PEAK_TO_MS;
 
       tick (sim);
       if (sim->now > HEARTBEAT_MS && sim->now < DURATION_MS)
-        requests_due += capacity * (is_peak ? peak_load : 0.5);
-      for (; requests_due >= 1; requests_due -= 1)
-        {
-          size_t request = sim->result.requests++;
-
-          g_assert_cmpuint (request, <, REQUESTS_MAX);
-          sim->requests[request].arrived_at = sim->now;
-          attempt (sim, request);
-        }
+        requests_due += capacity * (is_peak ? load->peak : load->base);
+      add_requests (sim, requests_due);
       handle_events (sim);
     }
   result = sim->result;
   result.p50_ms = latency_percentile (sim->latencies, 50);
   result.p99_ms = latency_percentile (sim->latencies, 99);
+  result.imbalance = imbalance (sim);
   result.capacity_ratio
-      = peak_load > 1 ? 1 - peak_excess / result.requests : 1;
+      = load->peak > 1 ? 1 - peak_excess / result.requests : 1;
   destroy_simulation (sim);
   return result;
 }
