--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -1153,7 +1153,9 @@
   uint32_t cold_ms; /* Time left until the upstream is warm; 0: it is warm.  */
   uint32_t mean_work_us; /* Mean time of a request in a slot; 0: not known.  */
   uint32_t work_left_us; /* Expected time in slots that the requests in
-                            progress, queued ones included, still need.  */
+                            progress, queued ones and those about to come
+                            included, still need and by which they delay a new
+                            one; 0: none, or not known.  */
   uint32_t cold_room;    /* New flows that the upstream bears in the present
                             second; HS_COLD_ROOM_UNLIMITED: no limit.  */
   bool no_upstream; /* There is no upstream process that could own a flow.  */
--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -564,7 +564,7 @@
 would_wait_too_long (struct hs_sidecar *sidecar, uint32_t wait_max_ms,
                      uint64_t now)
 {
-  uint32_t work_us = sidecar->mean_work_us;
+  uint32_t work_us = known_work_us (sidecar);
   uint64_t requests;
 
   HS_LIST_FOREACH (link, &sidecar->pending_syns)
@@ -575,8 +575,6 @@
         break;
       set_syn_pending (sidecar, flow, false, now);
     }
-  if (work_us == 0)
-    work_us = HS_WORK_DEFAULT_US;
   if (sidecar->cold_until > now)
     work_us = work_us * HS_COLD_WORK_PERCENT / 100;
   requests = (uint64_t)sidecar->requests_in_progress
