--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -1267,7 +1267,9 @@
   uint32_t cold_ms; /* Time left until the upstream is warm; 0: it is warm.  */
   uint32_t mean_work_us; /* Mean time of a request in a slot; 0: not known.  */
   uint32_t work_left_us; /* Expected time in slots that the requests in
-                            progress, queued ones included, still need.  */
+                            progress, queued ones and those about to come
+                            included, still need and by which they delay a new
+                            one; 0: none, or not known.  */
   uint32_t hold_room; /* SYNs that the agent would hold while its upstream has
                          no room.  */
   uint32_t cold_room; /* New flows that the upstream bears in the present
@@ -1350,10 +1352,10 @@
 bool hs_pool_agent_accepts_flows (const struct hs_pool_agent *agent,
                                   uint64_t now);
 
-/* Chooses the agent with the lowest load that meets DEMAND for a new flow and
-   counts the flow there.  No more flows are placed on an agent with a cold
-   upstream than its latest report has room for.  Returns NULL if no agent that
-   meets DEMAND accepts flows and has room.  */
+/* Chooses the agent that meets DEMAND and is expected to complete a new
+   request first, and counts the flow there.  No more flows are placed on an
+   agent with a cold upstream than its latest report has room for.  Returns
+   NULL if no agent that meets DEMAND accepts flows and has room.  */
 const struct hs_pool_agent *
 hs_agent_pool_place_flow (struct hs_agent_pool *pool,
                           const struct hs_flow_demand *demand, uint64_t now);
@@ -1844,6 +1846,44 @@
                            uint64_t now);
 void hs_syn_queue_remove (struct hs_syn_queue *queue, struct hs_held_syn *syn);
 
+/* Cost model: the time that the requests of a route occupy a slot of an
+   upstream, learned by the agent beside that upstream.  A route is known by
+   its service address.  Both queries take constant time.  */
+
+/* Routes of a model; the one whose latest sample is oldest is evicted.  */
+#define HS_COST_ROUTES_MAX 64
+
+/* Bounds of a sample, and of the mean that a load report can claim, us.  */
+#define HS_WORK_MIN_US 250
+#define HS_WORK_MAX_US 30000000
+
+/* Work of a request as long as none has been answered, us.  */
+#define HS_WORK_DEFAULT_US 40000
+
+struct hs_cost_model;
+
+struct hs_cost_model *hs_cost_model_create (void *parent);
+void hs_cost_model_destroy (struct hs_cost_model *model);
+
+/* Records that a request of the route of ADDRESS has occupied a slot for
+   WORK_US microseconds, which is brought within the bounds above.  */
+void hs_cost_model_add_sample (struct hs_cost_model *model,
+                               const struct hs_addr *address,
+                               uint64_t work_us);
+
+/* Returns the time in microseconds that a new request of the route of ADDRESS
+   is expected to occupy a slot.  For a route without samples it is the mean
+   over all routes, and HS_WORK_DEFAULT_US if there are no samples at all.  */
+uint32_t hs_cost_model_expected_us (const struct hs_cost_model *model,
+                                    const struct hs_addr *address);
+
+/* Returns the further time in microseconds that a request of the route of
+   ADDRESS is expected to occupy its slot if it has done so for ELAPSED_US
+   microseconds.  */
+uint32_t hs_cost_model_remaining_us (const struct hs_cost_model *model,
+                                     const struct hs_addr *address,
+                                     uint64_t elapsed_us);
+
 /* Sidecar: decides what an agent does with the segments of its upstream's
    flows, and tracks the upstream's state by its heartbeats.  NOW is in ms of a
    monotonic clock.  */
--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -62,6 +62,8 @@
   struct hs_counter *syns_held;
   struct hs_counter *held_syns;
   struct hs_histogram *held_ms;
+  struct hs_counter *mean_work_ms;
+  struct hs_counter *work_left_ms;
   struct hs_histogram *response_ms;
 };
 
@@ -254,6 +256,13 @@
   metrics->held_syns = hs_gauge_create (set, "held_syns", "SYNs held now.");
   metrics->held_ms = hs_histogram_create (
       set, "held_ms", "Time for which SYNs were held, ms.");
+  metrics->mean_work_ms = hs_gauge_create (
+      set, "expected_work_ms",
+      "Time that a new request is expected to occupy a slot, ms.");
+  metrics->work_left_ms
+      = hs_gauge_create (set, "work_left_ms",
+                         "Time in slots that the upstream is expected to need "
+                         "for the requests it has, ms.");
   metrics->response_ms = hs_histogram_create (
       set, "answer_ms",
       "Time from a request to the start of its response, ms.");
@@ -579,6 +588,8 @@
                   hs_held_syns_len (agent->held_syns));
   hs_counter_set (agent->metrics.state, load.state);
   hs_counter_set (agent->metrics.cold, load.cold_ms > 0);
+  hs_counter_set (agent->metrics.mean_work_ms, load.mean_work_us / 1000);
+  hs_counter_set (agent->metrics.work_left_ms, load.work_left_us / 1000);
   if (load.state != agent->reported_state)
     {
       hs_log_write (agent->log, HS_LOG_WARNING, "upstream-state", "{s:s, s:i}",
--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -54,9 +54,6 @@
    a round trip to the caller, and longer if the entry has it queued.  */
 #define SYN_PENDING_MS 100
 
-/* Work of a request as long as none has been answered.  */
-#define WORK_DEFAULT_US 40000
-
 /* A request that finds all slots busy and is answered this soon has been
    rejected by the upstream, whose queue is full.  */
 #define REJECTION_MS 2
@@ -79,6 +76,10 @@
    request occupies a slot.  */
 #define WORK_EWMA_PERCENT 5
 
+/* Slots of an upstream up to which its agent estimates when each of them gets
+   free.  At an upstream with more, one long request matters little.  */
+#define SLOTS_ESTIMATED_MAX 16
+
 enum flow_state
 {
   FLOW_SYN_SENT,        /* The SYN was delivered to the upstream.  */
@@ -114,6 +115,10 @@
   uint64_t request_started_at; /* ms  */
   uint32_t requests_at_start;  /* Requests in progress when it started,
                                   including it.  */
+  bool has_slot;               /* The request occupies a slot.  */
+  uint64_t slot_since;         /* ms, if HAS_SLOT.  */
+  struct hs_list wait_link;    /* In waiting_requests, if REQUEST_ACTIVE and
+                                  not HAS_SLOT.  */
   bool is_open;                /* Counted in open_flows of the sidecar.  */
   struct hs_list pending_link; /* In pending_syns of the sidecar.  */
   bool is_pending;             /* PENDING_LINK is in that list.  */
@@ -122,6 +127,13 @@
   bool upstream_closed;
 };
 
+/* Expected time until each slot of the upstream is free, us.  */
+struct slot_times
+{
+  uint32_t len;
+  uint64_t until_free_us[SLOTS_ESTIMATED_MAX];
+};
+
 struct hs_sidecar
 {
   char service_name[HS_NAME_SIZE];
@@ -160,8 +172,11 @@
                                     and sent no other segment or heartbeat
                                     since.  */
   uint32_t requests_in_progress;
-  struct hs_list active_requests; /* Flows with a request in progress, oldest
-                                     request first.  */
+  struct hs_list active_requests;  /* Flows with a request in progress, oldest
+                                      request first.  */
+  struct hs_list waiting_requests; /* Those of them whose request waits for a
+                                      slot, oldest first.  */
+  uint32_t slots_taken;            /* By the other ones.  */
   struct hs_list pending_syns; /* Flows whose first request is about to come,
                                   oldest first.  */
   uint32_t pending_syns_len;
@@ -170,6 +185,7 @@
   uint64_t capacity_changed_at; /* ms  */
   uint32_t open_flows;
   uint32_t mean_work_us; /* Mean time that a request occupies a slot.  */
+  struct hs_cost_model *costs;
 };
 
 /* Private functions.  */
@@ -227,6 +243,20 @@
                                     uint64_t now);
 static void update_mean_work (struct hs_sidecar *sidecar,
                               const struct flow *flow, uint64_t now);
+static void add_cost_sample (struct hs_sidecar *sidecar,
+                             const struct flow *flow, uint64_t now);
+static uint64_t work_us_by_share (const struct hs_sidecar *sidecar,
+                                  const struct flow *flow, uint64_t now);
+static uint32_t slots_of (const struct hs_sidecar *sidecar);
+static void assign_slots (struct hs_sidecar *sidecar, uint64_t now);
+static uint32_t work_left_us (const struct hs_sidecar *sidecar, uint64_t now);
+static uint64_t request_work_us (const struct hs_sidecar *sidecar,
+                                 const struct flow *flow, uint64_t now);
+static void add_pending_work (struct slot_times *times,
+                              const struct hs_sidecar *sidecar, uint64_t now);
+static uint64_t *first_free (struct slot_times *times);
+static void add_to_first_free (struct slot_times *times, uint64_t work_us);
+static uint32_t known_work_us (const struct hs_sidecar *sidecar);
 static void set_request_active (struct hs_sidecar *sidecar, struct flow *flow,
                                 bool active);
 static void begin_request (struct hs_sidecar *sidecar, struct flow *flow,
@@ -265,7 +295,9 @@
   sidecar->ctx = ctx;
   sidecar->warm_up = hs_warm_up_create (sidecar);
   hs_list_init (&sidecar->active_requests);
+  hs_list_init (&sidecar->waiting_requests);
   hs_list_init (&sidecar->pending_syns);
+  sidecar->costs = hs_cost_model_create (sidecar);
   sidecar->flows = hs_segment_flow_table_create (sidecar, sizeof (struct flow),
                                                  HS_SIDECAR_FLOWS_MAX,
                                                  on_flow_removed, sidecar);
@@ -511,8 +543,7 @@
 uint32_t
 hs_sidecar_work_us (const struct hs_sidecar *sidecar, uint64_t now)
 {
-  uint32_t work_us
-      = sidecar->mean_work_us != 0 ? sidecar->mean_work_us : WORK_DEFAULT_US;
+  uint32_t work_us = known_work_us (sidecar);
 
   return cold_ms (sidecar, now) > 0 ? work_us * HS_COLD_WORK_PERCENT / 100
                                     : work_us;
@@ -538,6 +569,7 @@
             ? hs_warm_up_room (sidecar->warm_up, sidecar->cold_flow_rate, now)
             : HS_COLD_ROOM_UNLIMITED;
   report->mean_work_us = sidecar->mean_work_us;
+  report->work_left_us = work_left_us (sidecar, now);
   report->no_upstream = has_no_upstream (sidecar);
 }
 
@@ -918,25 +950,22 @@
       if (is_rejection (sidecar, flow, now))
         lower_capacity (sidecar, flow, now);
       else if (!flow->is_uncertain_request)
-        update_mean_work (sidecar, flow, now);
+        {
+          update_mean_work (sidecar, flow, now);
+          add_cost_sample (sidecar, flow, now);
+        }
     }
   if (segment->payload_len > 0)
     set_request_active (sidecar, flow, false);
+  assign_slots (sidecar, now);
 }
 
-/* Updates the moving average.  A request that started when more requests than
-   slots were in progress had only a share of a slot, so its duration is scaled
-   by slots / requests.  */
+/* Updates the moving average.  */
 static void
 update_mean_work (struct hs_sidecar *sidecar, const struct flow *flow,
                   uint64_t now)
 {
-  uint32_t slots
-      = sidecar->last_heartbeat.slots != 0 ? sidecar->last_heartbeat.slots : 1;
-  uint32_t requests
-      = flow->requests_at_start > slots ? flow->requests_at_start : slots;
-  uint64_t work_us
-      = (now - flow->request_started_at) * 1000 * slots / requests;
+  uint64_t work_us = work_us_by_share (sidecar, flow, now);
 
   if (sidecar->mean_work_us == 0)
     sidecar->mean_work_us = (uint32_t)work_us;
@@ -946,6 +975,135 @@
                    / 100);
 }
 
+/* A request that is answered while it counts as waiting has shown that the
+   upstream does not serve its queue in order, or has more slots than is
+   known.  */
+static void
+add_cost_sample (struct hs_sidecar *sidecar, const struct flow *flow,
+                 uint64_t now)
+{
+  uint64_t work_us = flow->has_slot ? (now - flow->slot_since) * 1000
+                                    : work_us_by_share (sidecar, flow, now);
+
+  hs_cost_model_add_sample (sidecar->costs, &flow->base.key.address, work_us);
+}
+
+/* Returns the time that the request of FLOW has had of a slot.  A request that
+   started when more requests than slots were in progress had only a share of a
+   slot, so its duration is scaled by slots / requests.  */
+static uint64_t
+work_us_by_share (const struct hs_sidecar *sidecar, const struct flow *flow,
+                  uint64_t now)
+{
+  uint32_t slots = slots_of (sidecar);
+  uint32_t requests
+      = flow->requests_at_start > slots ? flow->requests_at_start : slots;
+
+  return (now - flow->request_started_at) * 1000 * slots / requests;
+}
+
+static uint32_t
+slots_of (const struct hs_sidecar *sidecar)
+{
+  return sidecar->last_heartbeat.slots != 0 ? sidecar->last_heartbeat.slots
+                                            : HS_SLOTS_DEFAULT;
+}
+
+/* Gives free slots to the requests that have waited longest, as the upstream
+   does.  */
+static void
+assign_slots (struct hs_sidecar *sidecar, uint64_t now)
+{
+  while (sidecar->slots_taken < slots_of (sidecar)
+         && !hs_list_is_empty (&sidecar->waiting_requests))
+    {
+      struct flow *flow = HS_LIST_ENTRY (
+          hs_list_pop (&sidecar->waiting_requests), struct flow, wait_link);
+
+      flow->has_slot = true;
+      flow->slot_since = now;
+      sidecar->slots_taken++;
+    }
+}
+
+/* Returns the expected time in slots that the upstream still needs for the
+   requests in progress and those about to come.  A slot that one long request
+   keeps busy while others get free delays a new request only by what it could
+   take over from them: it counts no longer than until a new request would have
+   ended in another slot.  */
+static uint32_t
+work_left_us (const struct hs_sidecar *sidecar, uint64_t now)
+{
+  uint32_t slots = slots_of (sidecar);
+  struct slot_times times
+      = { .len = slots <= SLOTS_ESTIMATED_MAX ? slots : 1 };
+  uint64_t limit_us, sum_us = 0;
+
+  HS_LIST_FOREACH (link, &sidecar->active_requests)
+    add_to_first_free (
+        &times,
+        request_work_us (
+            sidecar, HS_LIST_ENTRY (link, struct flow, request_link), now));
+  add_pending_work (&times, sidecar, now);
+  limit_us = *first_free (&times) + known_work_us (sidecar);
+  for (uint32_t i = 0; i < times.len; i++)
+    sum_us += MIN (times.until_free_us[i], limit_us);
+  return (uint32_t)MIN (sum_us, UINT32_MAX);
+}
+
+static uint64_t *
+first_free (struct slot_times *times)
+{
+  uint64_t *first = &times->until_free_us[0];
+
+  for (uint32_t i = 1; i < times->len; i++)
+    if (times->until_free_us[i] < *first)
+      first = &times->until_free_us[i];
+  return first;
+}
+
+static void
+add_to_first_free (struct slot_times *times, uint64_t work_us)
+{
+  *first_free (times) += work_us;
+}
+
+static uint32_t
+known_work_us (const struct hs_sidecar *sidecar)
+{
+  return sidecar->mean_work_us != 0 ? sidecar->mean_work_us
+                                    : HS_WORK_DEFAULT_US;
+}
+
+static uint64_t
+request_work_us (const struct hs_sidecar *sidecar, const struct flow *flow,
+                 uint64_t now)
+{
+  const struct hs_addr *address = &flow->base.key.address;
+
+  if (!flow->has_slot)
+    return hs_cost_model_expected_us (sidecar->costs, address);
+  return hs_cost_model_remaining_us (
+      sidecar->costs, address,
+      now > flow->slot_since ? (now - flow->slot_since) * 1000 : 0);
+}
+
+static void
+add_pending_work (struct slot_times *times, const struct hs_sidecar *sidecar,
+                  uint64_t now)
+{
+  HS_LIST_FOREACH (link, &sidecar->pending_syns)
+    {
+      const struct flow *flow
+          = HS_LIST_ENTRY (link, struct flow, pending_link);
+
+      if (now <= flow->syn_at + SYN_PENDING_MS)
+        add_to_first_free (
+            times, hs_cost_model_expected_us (sidecar->costs,
+                                              &flow->base.key.address));
+    }
+}
+
 /* Returns whether SEGMENT of the upstream is the first that shows that the
    upstream owns FLOW.  A SYN+ACK alone does not: it moves the flow to
    FLOW_SYN_ANSWERED.  */
@@ -1025,9 +1183,17 @@
   flow->request_active = active;
   sidecar->requests_in_progress += active ? 1 : (uint32_t)-1;
   if (active)
-    hs_list_append (&sidecar->active_requests, &flow->request_link);
+    {
+      hs_list_append (&sidecar->active_requests, &flow->request_link);
+      hs_list_append (&sidecar->waiting_requests, &flow->wait_link);
+      return;
+    }
+  hs_list_remove (&flow->request_link);
+  if (flow->has_slot)
+    sidecar->slots_taken--;
   else
-    hs_list_remove (&flow->request_link);
+    hs_list_remove (&flow->wait_link);
+  flow->has_slot = false;
 }
 
 /* SEGMENT of the caller has payload.  It begins a request unless one is in
@@ -1052,6 +1218,7 @@
   flow->is_uncertain_request = is_uncertain;
   flow->request_started_at = now;
   flow->requests_at_start = sidecar->requests_in_progress;
+  assign_slots (sidecar, now);
 }
 
 static void
@@ -1067,6 +1234,7 @@
       if (now - flow->request_started_at > timeout_ms)
         set_request_active (sidecar, flow, false);
     }
+  assign_slots (sidecar, now);
 }
 
 static void
