Refill slots by the handshakes that callers complete, and test held SYNs

The agent learns how long handshakes take and how many are abandoned. Copies of a held SYN go to no second agent: the agent tells the entry that it holds it.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -1714,6 +1714,12 @@
     struct hs_forwarder *forwarder, const struct hs_segment *syn,
     uint64_t agent_id, enum hs_reason reason, uint64_t now);
 
+/* Agent AGENT_ID holds the SYN of the flow until its upstream has room: copies
+   of the SYN go to no other agent.  */
+void hs_forwarder_handle_held_syn (struct hs_forwarder *forwarder,
+                                   const struct hs_segment_key *key,
+                                   uint64_t agent_id);
+
 /* Handle the answers to a lookup query: see enum hs_lookup_answer.  */
 
 /* Agent AGENT_ID owns the flow.  */
@@ -1815,7 +1821,7 @@
 
 /* Returns how many more SYNs are to be held at an upstream with SLOTS (0: not
    known), where a request takes WORK_US, if a SYN is held for HOLD_MAX_MS at
-   most.  */
+   most.  WORK_US: 0 if not known.  */
 uint32_t hs_syn_queue_room (struct hs_syn_queue *queue, uint32_t slots,
                             uint32_t work_us, uint32_t hold_max_ms,
                             uint64_t now);
@@ -2041,12 +2047,14 @@
 bool hs_sidecar_accepts_flows (const struct hs_sidecar *sidecar);
 
 /* Returns whether the upstream has a slot that neither a request nor one that
-   is about to come takes.  */
+   is about to come takes, or no more than one request in front of it: else the
+   slot would be idle while the caller completes its handshake.  */
 bool hs_sidecar_has_idle_slot (struct hs_sidecar *sidecar, uint64_t now);
 uint32_t hs_sidecar_slots (const struct hs_sidecar *sidecar);
 
-/* Returns the expected time of a request in a slot, in microseconds.  */
-uint32_t hs_sidecar_work_us (const struct hs_sidecar *sidecar, uint64_t now);
+/* Returns the mean time of a request of any route in a slot, in microseconds,
+   0 before the first has been answered.  */
+uint32_t hs_sidecar_learned_work_us (const struct hs_sidecar *sidecar);
 
 /* Sets the fields of REPORT that describe the upstream and its service.  The
    agent's id, incarnation, address, zone and the sequence number are left to
--- a/src/agent/held_syns.c
+++ b/src/agent/held_syns.c
@@ -137,7 +137,7 @@
   if (!hs_sidecar_accepts_flows (held->sidecar))
     return 0;
   return hs_syn_queue_room (held->queue, hs_sidecar_slots (held->sidecar),
-                            hs_sidecar_work_us (held->sidecar, now),
+                            hs_sidecar_learned_work_us (held->sidecar),
                             TYPICAL_HOLD_MS, now);
 }
 
@@ -151,7 +151,7 @@
   return is_for_want_of_room (decision) && terms->hold_max_ms > 0
          && len <= HS_HELD_SYN_SIZE_MAX
          && hs_syn_queue_room (held->queue, hs_sidecar_slots (held->sidecar),
-                               hs_sidecar_work_us (held->sidecar, now),
+                               hs_sidecar_learned_work_us (held->sidecar),
                                terms->hold_max_ms, now)
                 > 0;
 }
--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -516,12 +516,16 @@
                                 .hold_max_ms = header->hold_max_ms,
                                 .priority = header->priority,
                                 .cold_flow_rate = header->cold_flow_rate };
+  struct hs_inner message = { .type = HS_INNER_SYN_HELD };
 
   if (!hs_held_syns_filter (agent->held_syns, segment,
                             hs_packet_bytes (packet), packet->len, &terms,
                             decision, now))
     return false;
   hs_counter_add (agent->metrics.syns_held, 1);
+  message.ownership.agent_id = agent->node->node_id;
+  message.ownership.key = hs_segment_key (segment, true);
+  hs_segment_node_send (agent->node, &packet->peer, &message);
   return true;
 }
 
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -381,6 +381,9 @@
     on_load_report (entry, &message->load_report, now);
   else if (message->type == HS_INNER_OWNERSHIP)
     on_lookup_answer (entry, &message->ownership, now);
+  else if (message->type == HS_INNER_SYN_HELD)
+    hs_forwarder_handle_held_syn (entry->forwarder, &message->ownership.key,
+                                  message->ownership.agent_id);
 }
 
 static void
--- a/src/segment/forwarder.c
+++ b/src/segment/forwarder.c
@@ -189,6 +189,7 @@
   if (flow->owner_id == agent_id)
     flow->owner_id = 0;
   hs_forwarder_remove_syn_agent (flow, agent_id);
+  flow->is_syn_held = false;
   if (flow->refused_ids_len < HS_SYN_AGENTS_MAX)
     flow->refused_ids[flow->refused_ids_len++] = agent_id;
   /* Another agent has the SYN as well, and may accept it.  */
@@ -211,6 +212,19 @@
   return decision;
 }
 
+void
+hs_forwarder_handle_held_syn (struct hs_forwarder *forwarder,
+                              const struct hs_segment_key *key,
+                              uint64_t agent_id)
+{
+  struct hs_forwarder_flow *flow
+      = hs_segment_flow_table_find (forwarder->flows, key);
+
+  if (flow != NULL && flow->syn_agent_ids_len > 0
+      && flow->syn_agent_ids[flow->syn_agent_ids_len - 1] == agent_id)
+    flow->is_syn_held = true;
+}
+
 void
 hs_forwarder_tick (struct hs_forwarder *forwarder, uint64_t now)
 {
@@ -305,6 +319,7 @@
   flow->directories_digest = 0;
   flow->directories_checked_at = 0;
   flow->is_unowned = false;
+  flow->is_syn_held = false;
   hs_owner_lookup_stop (flow);
   demand = demand_of (flow, rule);
   return place_flow (forwarder, flow, &demand, now);
@@ -346,7 +361,8 @@
   if (flow->owner_id != 0)
     return hs_forward_decision_without_agents (HS_FORWARD_DROP,
                                                HS_REASON_NONE);
-  if (agent != NULL && segment->ack < SYN_RETRANSMISSION_OTHER_AGENT)
+  if (agent != NULL
+      && (flow->is_syn_held || segment->ack < SYN_RETRANSMISSION_OTHER_AGENT))
     return forward_syn (forwarder, flow, agent, false, now);
   return place_flow (forwarder, flow, demand, now);
 }
--- a/src/segment/forwarder_state.h
+++ b/src/segment/forwarder_state.h
@@ -44,6 +44,7 @@
   uint64_t syn_agent_ids[HS_SYN_AGENTS_MAX]; /* Agents that the SYN was sent
                                                 to and that have not refused
                                                 it.  */
+  bool is_syn_held; /* The last of these agents holds the SYN.  */
   size_t refused_ids_len;
   uint64_t refused_ids[HS_SYN_AGENTS_MAX]; /* Agents that refused it.  */
 
--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -50,8 +50,10 @@
    upstream counts as silent.  The handshake takes less than 10 ms.  */
 #define SYN_TIMEOUT_MS 150
 
-/* Time after a SYN within which its request counts as about to come.  It takes
-   a round trip to the caller, and longer if the entry has it queued.  */
+/* Time after a SYN within which its request counts as about to come: between
+   these, by the handshakes seen.  It takes a round trip to the caller, and
+   longer if the entry has it queued.  */
+#define SYN_PENDING_MIN_MS 20
 #define SYN_PENDING_MS 100
 
 /* A request that finds all slots busy and is answered this soon has been
@@ -80,6 +82,15 @@
    free.  At an upstream with more, one long request matters little.  */
 #define SLOTS_ESTIMATED_MAX 16
 
+/* A request comes within this many times the mean after its SYN, or its caller
+   has given up or opened the flow at another upstream.  */
+#define HANDSHAKE_MAX_FACTOR 3
+
+/* Weight of the latest handshake in the mean, and the mean before the first.
+ */
+#define HANDSHAKE_EWMA 0.1
+#define HANDSHAKE_DEFAULT_MS 10
+
 enum flow_state
 {
   FLOW_SYN_SENT,        /* The SYN was delivered to the upstream.  */
@@ -180,6 +191,8 @@
   struct hs_list pending_syns; /* Flows whose first request is about to come,
                                   oldest first.  */
   uint32_t pending_syns_len;
+  double abandoned_share; /* Of the SYNs, those whose request never came.  */
+  double handshake_ms; /* Mean time from a SYN to its request; 0: not known. */
   uint32_t capacity; /* Requests that the upstream takes, queued ones included;
                         0: not known.  */
   uint64_t capacity_changed_at; /* ms  */
@@ -205,6 +218,10 @@
 static void begin_flow (struct hs_sidecar *sidecar, struct flow *flow);
 static uint32_t cold_ms (const struct hs_sidecar *sidecar, uint64_t now);
 static void expire_pending_syns (struct hs_sidecar *sidecar, uint64_t now);
+static void learn_handshake (struct hs_sidecar *sidecar, uint64_t ms);
+static void learn_abandoned (struct hs_sidecar *sidecar, bool abandoned);
+static uint64_t pending_timeout_ms (const struct hs_sidecar *sidecar);
+static uint64_t expected_requests (const struct hs_sidecar *sidecar);
 static bool would_wait_too_long (struct hs_sidecar *sidecar,
                                  uint32_t wait_max_ms, uint64_t now);
 static void set_syn_pending (struct hs_sidecar *sidecar, struct flow *flow,
@@ -257,6 +274,8 @@
 static uint64_t *first_free (struct slot_times *times);
 static void add_to_first_free (struct slot_times *times, uint64_t work_us);
 static uint32_t known_work_us (const struct hs_sidecar *sidecar);
+static uint32_t expected_work_us (const struct hs_sidecar *sidecar,
+                                  uint64_t now);
 static void set_request_active (struct hs_sidecar *sidecar, struct flow *flow,
                                 bool active);
 static void begin_request (struct hs_sidecar *sidecar, struct flow *flow,
@@ -528,8 +547,7 @@
 hs_sidecar_has_idle_slot (struct hs_sidecar *sidecar, uint64_t now)
 {
   expire_pending_syns (sidecar, now);
-  return sidecar->requests_in_progress + sidecar->pending_syns_len
-         < hs_sidecar_slots (sidecar);
+  return expected_requests (sidecar) <= hs_sidecar_slots (sidecar);
 }
 
 uint32_t
@@ -541,12 +559,13 @@
 }
 
 uint32_t
-hs_sidecar_work_us (const struct hs_sidecar *sidecar, uint64_t now)
+hs_sidecar_learned_work_us (const struct hs_sidecar *sidecar)
 {
-  uint32_t work_us = known_work_us (sidecar);
+  static const struct hs_addr any_route;
 
-  return cold_ms (sidecar, now) > 0 ? work_us * HS_COLD_WORK_PERCENT / 100
-                                    : work_us;
+  return sidecar->mean_work_us != 0
+             ? hs_cost_model_expected_us (sidecar->costs, &any_route)
+             : 0;
 }
 
 void
@@ -693,24 +712,64 @@
     {
       struct flow *flow = HS_LIST_ENTRY (link, struct flow, pending_link);
 
-      if (now - flow->syn_at <= SYN_PENDING_MS)
+      if (now - flow->syn_at <= pending_timeout_ms (sidecar))
         break;
       set_syn_pending (sidecar, flow, false, now);
+      learn_abandoned (sidecar, true);
     }
 }
 
+static void
+learn_handshake (struct hs_sidecar *sidecar, uint64_t ms)
+{
+  if (sidecar->handshake_ms <= 0)
+    sidecar->handshake_ms = HANDSHAKE_DEFAULT_MS;
+  sidecar->handshake_ms
+      += HANDSHAKE_EWMA * ((double)ms - sidecar->handshake_ms);
+}
+
+static void
+learn_abandoned (struct hs_sidecar *sidecar, bool abandoned)
+{
+  sidecar->abandoned_share
+      += HANDSHAKE_EWMA * ((abandoned ? 1.0 : 0.0) - sidecar->abandoned_share);
+}
+
+/* Returns the time after a SYN within which its request counts as about to
+   come.  */
+static uint64_t
+pending_timeout_ms (const struct hs_sidecar *sidecar)
+{
+  double mean_ms = sidecar->handshake_ms > 0 ? sidecar->handshake_ms
+                                             : HANDSHAKE_DEFAULT_MS;
+  uint64_t timeout_ms = (uint64_t)(HANDSHAKE_MAX_FACTOR * mean_ms);
+
+  return CLAMP (timeout_ms, SYN_PENDING_MIN_MS, SYN_PENDING_MS);
+}
+
+/* Returns the requests in progress and those that are expected of the SYNs
+   whose request has not come yet.  After an outage, many of these callers have
+   given up.  */
+static uint64_t
+expected_requests (const struct hs_sidecar *sidecar)
+{
+  double about_to_come
+      = sidecar->pending_syns_len * (1 - sidecar->abandoned_share);
+
+  return sidecar->requests_in_progress + (uint64_t)(about_to_come + 0.5);
+}
+
 /* Returns whether the request of a new flow would wait for a slot for longer
    than WAIT_MAX_MS (0: no limit).  */
 static bool
 would_wait_too_long (struct hs_sidecar *sidecar, uint32_t wait_max_ms,
                      uint64_t now)
 {
-  uint32_t work_us = hs_sidecar_work_us (sidecar, now);
+  uint32_t work_us = expected_work_us (sidecar, now);
   uint64_t requests;
 
   expire_pending_syns (sidecar, now);
-  requests = (uint64_t)sidecar->requests_in_progress
-             + sidecar->pending_syns_len + 1;
+  requests = expected_requests (sidecar) + 1;
   if (wait_max_ms == 0)
     return false;
   return (sidecar->capacity != 0 && requests > sidecar->capacity)
@@ -1068,6 +1127,16 @@
   *first_free (times) += work_us;
 }
 
+/* Returns the expected time of a request in a slot, in microseconds.  */
+static uint32_t
+expected_work_us (const struct hs_sidecar *sidecar, uint64_t now)
+{
+  uint32_t work_us = known_work_us (sidecar);
+
+  return cold_ms (sidecar, now) > 0 ? work_us * HS_COLD_WORK_PERCENT / 100
+                                    : work_us;
+}
+
 static uint32_t
 known_work_us (const struct hs_sidecar *sidecar)
 {
@@ -1097,7 +1166,7 @@
       const struct flow *flow
           = HS_LIST_ENTRY (link, struct flow, pending_link);
 
-      if (now <= flow->syn_at + SYN_PENDING_MS)
+      if (now <= flow->syn_at + pending_timeout_ms (sidecar))
         add_to_first_free (
             times, hs_cost_model_expected_us (sidecar->costs,
                                               &flow->base.key.address));
@@ -1213,6 +1282,11 @@
   flow->caller_end = end;
   if (flow->request_active)
     return;
+  if (flow->is_pending)
+    {
+      learn_handshake (sidecar, now - flow->syn_at);
+      learn_abandoned (sidecar, false);
+    }
   set_syn_pending (sidecar, flow, false, now);
   set_request_active (sidecar, flow, true);
   flow->is_uncertain_request = is_uncertain;
--- a/src/segment/syn_queue.c
+++ b/src/segment/syn_queue.c
@@ -21,13 +21,17 @@
 /* Share of the held SYNs that are expected to be released, at first and after
    a quiet time.  Late ones get what new ones leave of the slots.  */
 #define RELEASED_SHARE_DEFAULT 0.75
-#define RELEASED_SHARE_MIN 0.0625
+#define RELEASED_SHARE_MIN 0.03125
+
+/* Work by which the room is computed until a request has been answered: at the
+   start after an outage, when the most SYNs come.  */
+#define WORK_UNKNOWN_US 25000
 
 /* Change of the share by a SYN that was released, and one that expired.  */
 #define RELEASED_GAIN 0.05
 #define EXPIRED_LOSS 0.1
 
-/* Time in which the share recovers from 0 to the default.  */
+/* Time without held SYNs in which the share recovers from 0 to the default. */
 #define SHARE_RECOVERY_MS 10000.0
 
 struct hs_syn_queue
@@ -79,7 +83,7 @@
 
   recover_share (queue, now);
   if (work_us == 0)
-    return 0;
+    work_us = WORK_UNKNOWN_US;
   room = queue->released_share * hold_max_ms * 1000.0 * (double)known_slots
          / work_us;
   if (room > HS_HELD_SYNS_MAX)
@@ -188,7 +192,7 @@
                 * RELEASED_SHARE_DEFAULT;
 
   queue->share_changed_at = now;
-  if (queue->released_share >= RELEASED_SHARE_DEFAULT)
+  if (queue->len > 0 || queue->released_share >= RELEASED_SHARE_DEFAULT)
     return;
   queue->released_share += gain;
   if (queue->released_share > RELEASED_SHARE_DEFAULT)
--- a/src/wire/inner.c
+++ b/src/wire/inner.c
@@ -20,7 +20,7 @@
   [HS_INNER_HEARTBEAT] = 11,   [HS_INNER_STATUS] = 6,
   [HS_INNER_FETCH] = 4,        [HS_INNER_CHUNK] = 6,
   [HS_INNER_LOOKUP_QUERY] = 8, [HS_INNER_LOAD_QUERY] = 3,
-  [HS_INNER_EVACUATIONS] = 3,
+  [HS_INNER_EVACUATIONS] = 3,  [HS_INNER_SYN_HELD] = 6,
 };
 
 /* Private functions.  */
@@ -150,6 +150,11 @@
       msgpack_pack_uint64 (out, inner->load_query.configuration_version);
       msgpack_pack_uint32 (out, inner->load_query.flow_idle_ms);
       break;
+    case HS_INNER_SYN_HELD:
+      msgpack_pack_uint64 (out, inner->ownership.agent_id);
+      hs_pack_addr (out, &inner->ownership.key.caller);
+      hs_pack_addr (out, &inner->ownership.key.address);
+      break;
     case HS_INNER_EVACUATIONS:
       pack_evacuations (out, &inner->evacuations);
       break;
@@ -294,6 +299,11 @@
       inner->load_query.flow_idle_ms
           = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
       break;
+    case HS_INNER_SYN_HELD:
+      inner->ownership.agent_id = hs_unpack_uint (in, UINT64_MAX);
+      hs_unpack_addr (in, &inner->ownership.key.caller);
+      hs_unpack_addr (in, &inner->ownership.key.address);
+      break;
     case HS_INNER_EVACUATIONS:
       unpack_evacuations (in, &inner->evacuations);
       break;
--- a/src/wire/inner.h
+++ b/src/wire/inner.h
@@ -35,6 +35,8 @@
   HS_INNER_LOAD_QUERY,   /* Entry to agent: requests a LOAD_REPORT.  */
   HS_INNER_EVACUATIONS,  /* Control to entry or agent: the zones that are
                             evacuated.  */
+  HS_INNER_SYN_HELD,     /* Agent to entry: it holds a SYN until its upstream
+                            has room.  */
   HS_INNER_TYPE_COUNT
 };
 
@@ -56,9 +58,10 @@
 
 struct hs_inner_ownership
 {
-  uint64_t agent_id; /* Lookup answer OWNED, NOT_OWNED or UNKNOWN: the sender;
-                        RECORDED_ELSEWHERE: the owner on record.  */
-  enum hs_lookup_answer lookup_answer;
+  uint64_t agent_id; /* SYN_HELD: the sender.  Lookup answer OWNED, NOT_OWNED
+                        or UNKNOWN: the sender; RECORDED_ELSEWHERE: the owner
+                        on record.  */
+  enum hs_lookup_answer lookup_answer; /* Not in SYN_HELD.  */
   struct hs_segment_key key;
 };
 
@@ -118,7 +121,7 @@
   union
   {
     struct hs_inner_segment_header segment_header; /* FORWARD, REFUSED_SYN  */
-    struct hs_inner_ownership ownership;
+    struct hs_inner_ownership ownership;           /* OWNERSHIP, SYN_HELD  */
     struct hs_segment queried_segment; /* LOOKUP_QUERY: the caller's latest
                                           one; payload_len is not sent.  */
     struct hs_load_report load_report;
--- a/tests/test_inner.c
+++ b/tests/test_inner.c
@@ -15,7 +15,7 @@
 
 #define MUTATIONS 100000
 #define DATA_SIZE 4096
-#define SAMPLES 15
+#define SAMPLES 16
 
 struct sample
 {
@@ -80,6 +80,11 @@
                                                    .no_upstream = true,
                                                    .zone = "sic-ragusa" };
       break;
+    case HS_INNER_SYN_HELD:
+      inner.ownership = (struct hs_inner_ownership){
+        9, HS_LOOKUP_NONE, { sample_addr (1), sample_addr (2) }
+      };
+      break;
     case HS_INNER_EVACUATIONS:
       inner.evacuations = (struct hs_evacuations){
         .revision = 7, .len = 2, .zones = { "sic-ragusa", "sic-catania" }
