--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -11,7 +11,7 @@
    A request is in progress from the first payload of the caller until the
    first payload of the upstream; the payload itself is not parsed.  */
 
-#include "segment/segment_flow_table.h"
+#include "segment/sidecar_state.h"
 
 #include <string.h>
 #include <talloc.h>
@@ -50,157 +50,10 @@
    upstream counts as silent.  The handshake takes less than 10 ms.  */
 #define SYN_TIMEOUT_MS 150
 
-/* Time after a SYN within which its request counts as about to come: between
-   these, by the handshakes seen.  It takes a round trip to the caller, and
-   longer if the entry has it queued.  */
-#define SYN_PENDING_MIN_MS 20
-#define SYN_PENDING_MS 100
-
-/* A request that finds all slots busy and is answered this soon has been
-   rejected by the upstream, whose queue is full.  */
-#define REJECTION_MS 2
-
-/* Time for which a request counts as in progress without an answer, and the
-   same for one that may be a copy of an answered request: its flow was open
-   before this agent started.  */
-#define REQUEST_TIMEOUT_MS 10000
-#define UNCERTAIN_REQUEST_TIMEOUT_MS 300
-
-/* Interval at which the number of requests that the upstream is known to take
-   is raised by one again.  */
-#define CAPACITY_PROBE_MS 500
-
 /* Time after the end of an evacuation in which a heartbeat may still have been
    sent before it, by an upstream that did not know of the end.  */
 #define EVACUATION_END_MARGIN_MS 100
 
-/* Weight of the latest request in the moving average of the time that a
-   request occupies a slot.  */
-#define WORK_EWMA_PERCENT 5
-
-/* Slots of an upstream up to which its agent estimates when each of them gets
-   free.  At an upstream with more, one long request matters little.  */
-#define SLOTS_ESTIMATED_MAX 16
-
-/* A request comes within this many times the mean after its SYN, or its caller
-   has given up or opened the flow at another upstream.  */
-#define HANDSHAKE_MAX_FACTOR 3
-
-/* Weight of the latest handshake in the mean, and the mean before the first.
- */
-#define HANDSHAKE_EWMA 0.1
-#define HANDSHAKE_DEFAULT_MS 10
-
-enum flow_state
-{
-  FLOW_SYN_SENT,        /* The SYN was delivered to the upstream.  */
-  FLOW_SYN_ANSWERED,    /* The upstream has sent a SYN+ACK; the caller may
-                           still complete the handshake of another upstream
-                           that got a copy of the SYN.  */
-  FLOW_OPEN,            /* The handshake is complete.  */
-  FLOW_PRESUMED_CLOSED, /* Not recorded, but an entry knows this agent as
-                           the owner: most likely both ends have closed
-                           it.  */
-  FLOW_PROBING,         /* Not recorded; a segment was delivered to find out
-                           whether the upstream owns the flow.  */
-  FLOW_NOT_OWNED        /* The upstream has returned or reset a segment.  */
-};
-
-struct flow
-{
-  struct hs_segment_flow base;
-  enum flow_state state;
-  struct hs_addr entry; /* Entry that sent the latest segment.  */
-  uint32_t syn_seq;
-  uint32_t upstream_isn; /* Sequence number of the SYN+ACK.  */
-  bool has_upstream_isn;
-  uint32_t last_caller_ack;
-  bool owes_lookup_answer;     /* FLOW_PROBING: the entry waits for one.  */
-  bool is_recovered;           /* Was open before this agent started.  */
-  bool has_caller_end;         /* CALLER_END is set.  */
-  uint32_t caller_end;         /* Sequence number after the caller's payload
-                                  so far.  */
-  bool request_active;         /* A request is in progress.  */
-  struct hs_list request_link; /* In active_requests, if REQUEST_ACTIVE.  */
-  bool is_uncertain_request;   /* It may be a copy of an answered one.  */
-  uint64_t request_started_at; /* ms  */
-  uint32_t requests_at_start;  /* Requests in progress when it started,
-                                  including it.  */
-  bool has_slot;               /* The request occupies a slot.  */
-  uint64_t slot_since;         /* ms, if HAS_SLOT.  */
-  struct hs_list wait_link;    /* In waiting_requests, if REQUEST_ACTIVE and
-                                  not HAS_SLOT.  */
-  bool is_open;                /* Counted in open_flows of the sidecar.  */
-  struct hs_list pending_link; /* In pending_syns of the sidecar.  */
-  bool is_pending;             /* PENDING_LINK is in that list.  */
-  uint64_t syn_at;             /* ms, if IS_PENDING.  */
-  bool caller_closed;
-  bool upstream_closed;
-};
-
-/* Expected time until each slot of the upstream is free, us.  */
-struct slot_times
-{
-  uint32_t len;
-  uint64_t until_free_us[SLOTS_ESTIMATED_MAX];
-};
-
-struct hs_sidecar
-{
-  char service_name[HS_NAME_SIZE];
-  uint64_t service_id;
-  struct hs_addr upstream;
-  uint64_t heartbeat_ms;      /* Interval of the heartbeats.  */
-  uint64_t started_at;        /* Wall clock of the agent's start, ms.  */
-  uint64_t first_tick_at;     /* ms; 0: not yet.  */
-  uint64_t flow_lifetime_ms;  /* Longest lifetime of a flow.  */
-  uint64_t flow_idle_version; /* Version of the configuration that FLOW_IDLE_MS
-                                 is from; 0: none yet.  */
-  uint32_t flow_idle_ms;
-  struct hs_sidecar_ops ops;
-  void *ctx;
-  struct hs_segment_flow_table *flows;
-  bool is_draining; /* The agent stops.  */
-  bool is_evacuated;
-  struct hs_warm_up *warm_up; /* Counts the new flows.  */
-  uint32_t cold_flow_rate;    /* Of the latest SYN.  */
-
-  /* State of the upstream's present incarnation.  */
-  enum hs_upstream_state state;
-  struct hs_heartbeat last_heartbeat;
-  uint64_t last_heard_at;   /* Time of last_heartbeat, ms.  */
-  uint64_t cold_until;      /* End of the slow phase after a start, ms.  */
-  bool is_assumed_cold;     /* An evacuation has ended, and no heartbeat has
-                               told since whether the upstream is cold.  */
-  uint64_t evacuated_until; /* ms, if IS_ASSUMED_COLD.  */
-  uint64_t recovery_until;  /* End of the flow recovery, ms; 0: ended.  */
-  uint64_t last_segment_at; /* Time of the upstream's last segment, ms.  */
-  uint32_t initial_resets;  /* Resets before any other segment.  */
-  bool sent_non_reset;      /* Some segment was not a reset.  */
-  uint64_t syn_unanswered_since; /* First SYN after the upstream's last
-                                    segment, ms; 0: none.  */
-  bool rejects_syns;             /* The upstream has returned the latest SYN
-                                    and sent no other segment or heartbeat
-                                    since.  */
-  uint32_t requests_in_progress;
-  struct hs_list active_requests;  /* Flows with a request in progress, oldest
-                                      request first.  */
-  struct hs_list waiting_requests; /* Those of them whose request waits for a
-                                      slot, oldest first.  */
-  uint32_t slots_taken;            /* By the other ones.  */
-  struct hs_list pending_syns; /* Flows whose first request is about to come,
-                                  oldest first.  */
-  uint32_t pending_syns_len;
-  double abandoned_share; /* Of the SYNs, those whose request never came.  */
-  double handshake_ms; /* Mean time from a SYN to its request; 0: not known. */
-  uint32_t capacity; /* Requests that the upstream takes, queued ones included;
-                        0: not known.  */
-  uint64_t capacity_changed_at; /* ms  */
-  uint32_t open_flows;
-  uint32_t mean_work_us; /* Mean time that a request occupies a slot.  */
-  struct hs_cost_model *costs;
-};
-
 /* Private functions.  */
 
 static bool has_no_upstream (const struct hs_sidecar *sidecar);
@@ -208,44 +61,31 @@
 handle_syn (struct hs_sidecar *sidecar, const struct hs_segment *segment,
             const struct hs_addr *entry, uint32_t wait_max_ms,
             uint32_t cold_flow_rate, uint64_t now);
-static bool is_copy_of_syn (const struct flow *flow,
+static bool is_copy_of_syn (const struct hs_sidecar_flow *flow,
                             const struct hs_segment *segment);
 static enum hs_reason check_syn (struct hs_sidecar *sidecar, bool is_copy,
                                  uint32_t wait_max_ms, uint32_t cold_flow_rate,
                                  uint64_t now);
-static struct hs_sidecar_decision refuse_evacuated (const struct flow *flow,
-                                                    bool is_copy);
-static void begin_flow (struct hs_sidecar *sidecar, struct flow *flow);
-static uint32_t cold_ms (const struct hs_sidecar *sidecar, uint64_t now);
-static void expire_pending_syns (struct hs_sidecar *sidecar, uint64_t now);
-static void learn_handshake (struct hs_sidecar *sidecar, uint64_t ms);
-static void learn_abandoned (struct hs_sidecar *sidecar, bool abandoned);
-static uint64_t pending_timeout_ms (const struct hs_sidecar *sidecar);
-static uint64_t expected_requests (const struct hs_sidecar *sidecar);
-static bool would_wait_too_long (struct hs_sidecar *sidecar,
-                                 uint32_t wait_max_ms, uint64_t now);
-static void set_syn_pending (struct hs_sidecar *sidecar, struct flow *flow,
-                             bool pending, uint64_t now);
-static bool is_rejection (const struct hs_sidecar *sidecar,
-                          const struct flow *flow, uint64_t now);
-static void lower_capacity (struct hs_sidecar *sidecar,
-                            const struct flow *flow, uint64_t now);
-static void raise_capacity (struct hs_sidecar *sidecar, uint64_t now);
+static struct hs_sidecar_decision
+refuse_evacuated (const struct hs_sidecar_flow *flow, bool is_copy);
+static void begin_flow (struct hs_sidecar *sidecar,
+                        struct hs_sidecar_flow *flow);
 static struct hs_sidecar_decision handle_unknown_flow (
     struct hs_sidecar *sidecar, const struct hs_segment *segment,
     const struct hs_addr *entry, bool owner_only, uint64_t now);
 static struct hs_sidecar_decision
-handle_known_flow (struct hs_sidecar *sidecar, struct flow *flow,
+handle_known_flow (struct hs_sidecar *sidecar, struct hs_sidecar_flow *flow,
                    const struct hs_segment *segment,
                    const struct hs_addr *entry, bool owner_only, uint64_t now);
 static struct hs_sidecar_decision
 handle_returned_segment (struct hs_sidecar *sidecar,
                          const struct hs_segment *segment, uint64_t now);
-static struct hs_sidecar_decision
-mark_not_owned (struct hs_sidecar *sidecar, struct flow *flow, uint64_t now);
+static struct hs_sidecar_decision mark_not_owned (struct hs_sidecar *sidecar,
+                                                  struct hs_sidecar_flow *flow,
+                                                  uint64_t now);
 static struct hs_sidecar_decision
 answer_not_owned (const struct hs_addr *entry);
-static bool confirms_ownership (struct flow *flow,
+static bool confirms_ownership (struct hs_sidecar_flow *flow,
                                 const struct hs_segment *segment);
 static struct hs_sidecar_decision decide (enum hs_sidecar_action action,
                                           enum hs_reason reason);
@@ -255,43 +95,21 @@
                                const struct hs_heartbeat *heartbeat,
                                uint64_t now);
 static void track_upstream_segment (struct hs_sidecar *sidecar,
-                                    struct flow *flow,
+                                    struct hs_sidecar_flow *flow,
                                     const struct hs_segment *segment,
                                     uint64_t now);
-static void update_mean_work (struct hs_sidecar *sidecar,
-                              const struct flow *flow, uint64_t now);
-static void add_cost_sample (struct hs_sidecar *sidecar,
-                             const struct flow *flow, uint64_t now);
-static uint64_t work_us_by_share (const struct hs_sidecar *sidecar,
-                                  const struct flow *flow, uint64_t now);
-static uint32_t slots_of (const struct hs_sidecar *sidecar);
-static void assign_slots (struct hs_sidecar *sidecar, uint64_t now);
-static uint32_t work_left_us (const struct hs_sidecar *sidecar, uint64_t now);
-static uint64_t request_work_us (const struct hs_sidecar *sidecar,
-                                 const struct flow *flow, uint64_t now);
-static void add_pending_work (struct slot_times *times,
-                              const struct hs_sidecar *sidecar, uint64_t now);
-static uint64_t *first_free (struct slot_times *times);
-static void add_to_first_free (struct slot_times *times, uint64_t work_us);
-static uint32_t known_work_us (const struct hs_sidecar *sidecar);
-static uint32_t expected_work_us (const struct hs_sidecar *sidecar,
-                                  uint64_t now);
-static void set_request_active (struct hs_sidecar *sidecar, struct flow *flow,
-                                bool active);
-static void begin_request (struct hs_sidecar *sidecar, struct flow *flow,
-                           const struct hs_segment *segment, uint64_t now);
-static void expire_requests (struct hs_sidecar *sidecar, uint64_t now);
-static void set_flow_open (struct hs_sidecar *sidecar, struct flow *flow,
-                           bool open);
-static bool acks_other_handshake (const struct flow *flow,
+static void set_flow_open (struct hs_sidecar *sidecar,
+                           struct hs_sidecar_flow *flow, bool open);
+static bool acks_other_handshake (const struct hs_sidecar_flow *flow,
                                   const struct hs_segment *segment);
-static void track_close (struct hs_sidecar *sidecar, struct flow *flow,
+static void track_close (struct hs_sidecar *sidecar,
+                         struct hs_sidecar_flow *flow,
                          const struct hs_segment *segment);
 static void on_flow_removed (void *ctx, struct hs_segment_flow *base);
 static bool is_syn_unanswered (const struct hs_sidecar *sidecar, uint64_t now);
-static struct flow *find_or_add_flow (struct hs_sidecar *sidecar,
-                                      const struct hs_segment_key *key,
-                                      uint64_t now);
+static struct hs_sidecar_flow *
+find_or_add_flow (struct hs_sidecar *sidecar, const struct hs_segment_key *key,
+                  uint64_t now);
 
 /* Public definitions.  */
 
@@ -317,9 +135,9 @@
   hs_list_init (&sidecar->waiting_requests);
   hs_list_init (&sidecar->pending_syns);
   sidecar->costs = hs_cost_model_create (sidecar);
-  sidecar->flows = hs_segment_flow_table_create (sidecar, sizeof (struct flow),
-                                                 HS_SIDECAR_FLOWS_MAX,
-                                                 on_flow_removed, sidecar);
+  sidecar->flows = hs_segment_flow_table_create (
+      sidecar, sizeof (struct hs_sidecar_flow), HS_SIDECAR_FLOWS_MAX,
+      on_flow_removed, sidecar);
   return sidecar;
 }
 
@@ -413,7 +231,7 @@
                                  uint64_t now)
 {
   struct hs_segment_key key = hs_segment_key (segment, true);
-  struct flow *flow;
+  struct hs_sidecar_flow *flow;
 
   if (hs_segment_is_syn (segment))
     {
@@ -440,7 +258,8 @@
                    const struct hs_segment *segment, uint64_t now)
 {
   struct hs_segment_key key = hs_segment_key (segment, true);
-  const struct flow *flow = hs_segment_flow_table_find (sidecar->flows, &key);
+  const struct hs_sidecar_flow *flow
+      = hs_segment_flow_table_find (sidecar->flows, &key);
   bool is_recovering = sidecar->recovery_until != 0;
 
   if (flow == NULL)
@@ -473,7 +292,7 @@
   struct hs_segment_key key = hs_segment_key (segment, false);
   struct hs_sidecar_decision decision
       = decide (HS_SIDECAR_TO_CALLER, HS_REASON_NONE);
-  struct flow *flow;
+  struct hs_sidecar_flow *flow;
 
   sidecar->last_segment_at = now;
   if ((segment->flags & HS_SEGMENT_RST) == 0)
@@ -525,8 +344,8 @@
       sidecar->flows,
       hs_flow_expiry_ms (sidecar->flow_idle_ms, sidecar->flow_lifetime_ms),
       now);
-  expire_requests (sidecar, now);
-  raise_capacity (sidecar, now);
+  hs_sidecar_expire_requests (sidecar, now);
+  hs_sidecar_raise_capacity (sidecar, now);
   if (sidecar->recovery_until != 0 && now >= sidecar->recovery_until)
     sidecar->recovery_until = 0;
   if (sidecar->state != HS_UPSTREAM_READY)
@@ -543,31 +362,6 @@
          && !sidecar->is_draining && !sidecar->is_evacuated;
 }
 
-bool
-hs_sidecar_has_idle_slot (struct hs_sidecar *sidecar, uint64_t now)
-{
-  expire_pending_syns (sidecar, now);
-  return expected_requests (sidecar) <= hs_sidecar_slots (sidecar);
-}
-
-uint32_t
-hs_sidecar_slots (const struct hs_sidecar *sidecar)
-{
-  uint32_t slots = sidecar->last_heartbeat.slots;
-
-  return slots != 0 ? slots : HS_SLOTS_DEFAULT;
-}
-
-uint32_t
-hs_sidecar_learned_work_us (const struct hs_sidecar *sidecar)
-{
-  static const struct hs_addr any_route;
-
-  return sidecar->mean_work_us != 0
-             ? hs_cost_model_expected_us (sidecar->costs, &any_route)
-             : 0;
-}
-
 void
 hs_sidecar_fill_load_report (const struct hs_sidecar *sidecar,
                              struct hs_load_report *report, uint64_t now)
@@ -582,16 +376,24 @@
   report->slots = sidecar->last_heartbeat.slots;
   report->requests_in_progress = sidecar->requests_in_progress;
   report->open_flows = sidecar->open_flows;
-  report->cold_ms = cold_ms (sidecar, now);
+  report->cold_ms = hs_sidecar_cold_ms (sidecar, now);
   report->cold_room
       = report->cold_ms > 0
             ? hs_warm_up_room (sidecar->warm_up, sidecar->cold_flow_rate, now)
             : HS_COLD_ROOM_UNLIMITED;
   report->mean_work_us = sidecar->mean_work_us;
-  report->work_left_us = work_left_us (sidecar, now);
+  report->work_left_us = hs_sidecar_work_left_us (sidecar, now);
   report->no_upstream = has_no_upstream (sidecar);
 }
 
+uint32_t
+hs_sidecar_cold_ms (const struct hs_sidecar *sidecar, uint64_t now)
+{
+  if (sidecar->cold_until > now)
+    return (uint32_t)(sidecar->cold_until - now);
+  return sidecar->is_assumed_cold ? (uint32_t)sidecar->heartbeat_ms : 0;
+}
+
 /* Private definitions.  */
 
 /* Returns whether no upstream is there that could own a flow: it has left with
@@ -613,7 +415,8 @@
   struct hs_segment_key key = hs_segment_key (segment, true);
   struct hs_sidecar_decision decision
       = decide (HS_SIDECAR_TO_UPSTREAM, HS_REASON_NONE);
-  struct flow *flow = hs_segment_flow_table_find (sidecar->flows, &key);
+  struct hs_sidecar_flow *flow
+      = hs_segment_flow_table_find (sidecar->flows, &key);
   bool is_copy = flow != NULL && is_copy_of_syn (flow, segment);
   enum hs_reason reason;
 
@@ -628,7 +431,7 @@
     begin_flow (sidecar, flow);
   if (!is_copy)
     {
-      set_syn_pending (sidecar, flow, true, now);
+      hs_sidecar_set_syn_pending (sidecar, flow, true, now);
       hs_warm_up_count_flow (sidecar->warm_up, now);
     }
   flow->syn_seq = segment->seq;
@@ -641,7 +444,8 @@
 
 /* Returns whether SEGMENT is a copy of the SYN of FLOW, which was accepted. */
 static bool
-is_copy_of_syn (const struct flow *flow, const struct hs_segment *segment)
+is_copy_of_syn (const struct hs_sidecar_flow *flow,
+                const struct hs_segment *segment)
 {
   return flow->syn_seq == segment->seq
          && (flow->state == FLOW_SYN_SENT || flow->state == FLOW_SYN_ANSWERED
@@ -661,9 +465,9 @@
     return HS_REASON_NO_UPSTREAM;
   if (is_copy)
     return HS_REASON_NONE;
-  if (would_wait_too_long (sidecar, wait_max_ms, now))
+  if (hs_sidecar_would_wait_too_long (sidecar, wait_max_ms, now))
     return HS_REASON_OVERLOADED;
-  if (cold_ms (sidecar, now) > 0
+  if (hs_sidecar_cold_ms (sidecar, now) > 0
       && hs_warm_up_room (sidecar->warm_up, cold_flow_rate, now) == 0)
     return HS_REASON_WARMING_UP;
   return HS_REASON_NONE;
@@ -673,7 +477,7 @@
    the upstream has answered continues, so that a refusal, by which the entry
    would send the SYN to another agent, is not sent.  */
 static struct hs_sidecar_decision
-refuse_evacuated (const struct flow *flow, bool is_copy)
+refuse_evacuated (const struct hs_sidecar_flow *flow, bool is_copy)
 {
   bool continues = is_copy && flow->state != FLOW_SYN_SENT;
 
@@ -683,9 +487,9 @@
 
 /* Forgets an earlier flow of the same addresses.  */
 static void
-begin_flow (struct hs_sidecar *sidecar, struct flow *flow)
+begin_flow (struct hs_sidecar *sidecar, struct hs_sidecar_flow *flow)
 {
-  set_request_active (sidecar, flow, false);
+  hs_sidecar_set_request_active (sidecar, flow, false);
   set_flow_open (sidecar, flow, false);
   flow->state = FLOW_SYN_SENT;
   flow->has_upstream_isn = false;
@@ -695,140 +499,6 @@
   flow->upstream_closed = false;
 }
 
-/* Returns the time left until the upstream is warm, 0 if it is.  As long as it
-   is assumed to be cold, the next heartbeat is expected to tell.  */
-static uint32_t
-cold_ms (const struct hs_sidecar *sidecar, uint64_t now)
-{
-  if (sidecar->cold_until > now)
-    return (uint32_t)(sidecar->cold_until - now);
-  return sidecar->is_assumed_cold ? (uint32_t)sidecar->heartbeat_ms : 0;
-}
-
-static void
-expire_pending_syns (struct hs_sidecar *sidecar, uint64_t now)
-{
-  HS_LIST_FOREACH (link, &sidecar->pending_syns)
-    {
-      struct flow *flow = HS_LIST_ENTRY (link, struct flow, pending_link);
-
-      if (now - flow->syn_at <= pending_timeout_ms (sidecar))
-        break;
-      set_syn_pending (sidecar, flow, false, now);
-      learn_abandoned (sidecar, true);
-    }
-}
-
-static void
-learn_handshake (struct hs_sidecar *sidecar, uint64_t ms)
-{
-  if (sidecar->handshake_ms <= 0)
-    sidecar->handshake_ms = HANDSHAKE_DEFAULT_MS;
-  sidecar->handshake_ms
-      += HANDSHAKE_EWMA * ((double)ms - sidecar->handshake_ms);
-}
-
-static void
-learn_abandoned (struct hs_sidecar *sidecar, bool abandoned)
-{
-  sidecar->abandoned_share
-      += HANDSHAKE_EWMA * ((abandoned ? 1.0 : 0.0) - sidecar->abandoned_share);
-}
-
-/* Returns the time after a SYN within which its request counts as about to
-   come.  */
-static uint64_t
-pending_timeout_ms (const struct hs_sidecar *sidecar)
-{
-  double mean_ms = sidecar->handshake_ms > 0 ? sidecar->handshake_ms
-                                             : HANDSHAKE_DEFAULT_MS;
-  uint64_t timeout_ms = (uint64_t)(HANDSHAKE_MAX_FACTOR * mean_ms);
-
-  return CLAMP (timeout_ms, SYN_PENDING_MIN_MS, SYN_PENDING_MS);
-}
-
-/* Returns the requests in progress and those that are expected of the SYNs
-   whose request has not come yet.  After an outage, many of these callers have
-   given up.  */
-static uint64_t
-expected_requests (const struct hs_sidecar *sidecar)
-{
-  double about_to_come
-      = sidecar->pending_syns_len * (1 - sidecar->abandoned_share);
-
-  return sidecar->requests_in_progress + (uint64_t)(about_to_come + 0.5);
-}
-
-/* Returns whether the request of a new flow would wait for a slot for longer
-   than WAIT_MAX_MS (0: no limit).  */
-static bool
-would_wait_too_long (struct hs_sidecar *sidecar, uint32_t wait_max_ms,
-                     uint64_t now)
-{
-  uint32_t work_us = expected_work_us (sidecar, now);
-  uint64_t requests;
-
-  expire_pending_syns (sidecar, now);
-  requests = expected_requests (sidecar) + 1;
-  if (wait_max_ms == 0)
-    return false;
-  return (sidecar->capacity != 0 && requests > sidecar->capacity)
-         || hs_overload_wait_us (requests, sidecar->last_heartbeat.slots,
-                                 work_us)
-                > (uint64_t)wait_max_ms * 1000;
-}
-
-/* Returns whether the upstream has answered the request of FLOW at NOW without
-   running it, since its queue is full.  */
-static bool
-is_rejection (const struct hs_sidecar *sidecar, const struct flow *flow,
-              uint64_t now)
-{
-  return sidecar->last_heartbeat.slots != 0 && !flow->is_uncertain_request
-         && flow->requests_at_start > sidecar->last_heartbeat.slots + 1
-         && now - flow->request_started_at <= REJECTION_MS;
-}
-
-static void
-lower_capacity (struct hs_sidecar *sidecar, const struct flow *flow,
-                uint64_t now)
-{
-  uint32_t taken = flow->requests_at_start - 1;
-
-  if (sidecar->capacity == 0 || taken < sidecar->capacity)
-    sidecar->capacity = taken;
-  sidecar->capacity_changed_at = now;
-}
-
-/* The rejection may have had another cause, and the upstream may take more by
-   now: it is tried out, one request more at a time.  */
-static void
-raise_capacity (struct hs_sidecar *sidecar, uint64_t now)
-{
-  if (sidecar->capacity == 0
-      || now - sidecar->capacity_changed_at < CAPACITY_PROBE_MS)
-    return;
-  sidecar->capacity++;
-  sidecar->capacity_changed_at = now;
-}
-
-static void
-set_syn_pending (struct hs_sidecar *sidecar, struct flow *flow, bool pending,
-                 uint64_t now)
-{
-  if (flow->is_pending)
-    {
-      hs_list_remove (&flow->pending_link);
-      sidecar->pending_syns_len--;
-    }
-  flow->is_pending = pending;
-  if (!pending)
-    return;
-  flow->syn_at = now;
-  hs_list_append (&sidecar->pending_syns, &flow->pending_link);
-  sidecar->pending_syns_len++;
-}
-
 static struct hs_sidecar_decision
 handle_unknown_flow (struct hs_sidecar *sidecar,
                      const struct hs_segment *segment,
@@ -836,7 +506,7 @@
                      uint64_t now)
 {
   struct hs_segment_key key = hs_segment_key (segment, true);
-  struct flow *flow;
+  struct hs_sidecar_flow *flow;
 
   if (sidecar->recovery_until == 0 && owner_only)
     return answer_not_owned (entry);
@@ -847,12 +517,12 @@
   flow->is_recovered = true;
   flow->entry = *entry;
   if (segment->payload_len > 0)
-    begin_request (sidecar, flow, segment, now);
+    hs_sidecar_begin_request (sidecar, flow, segment, now);
   return decide (HS_SIDECAR_TO_UPSTREAM, HS_REASON_NONE);
 }
 
 static struct hs_sidecar_decision
-handle_known_flow (struct hs_sidecar *sidecar, struct flow *flow,
+handle_known_flow (struct hs_sidecar *sidecar, struct hs_sidecar_flow *flow,
                    const struct hs_segment *segment,
                    const struct hs_addr *entry, bool owner_only, uint64_t now)
 {
@@ -877,7 +547,7 @@
   if ((segment->flags & HS_SEGMENT_ACK) != 0)
     flow->last_caller_ack = segment->ack;
   if (segment->payload_len > 0)
-    begin_request (sidecar, flow, segment, now);
+    hs_sidecar_begin_request (sidecar, flow, segment, now);
   track_close (sidecar, flow, segment);
   return decision;
 }
@@ -889,7 +559,8 @@
                          const struct hs_segment *segment, uint64_t now)
 {
   struct hs_segment_key key = hs_segment_key (segment, true);
-  struct flow *flow = hs_segment_flow_table_find (sidecar->flows, &key);
+  struct hs_sidecar_flow *flow
+      = hs_segment_flow_table_find (sidecar->flows, &key);
   struct hs_sidecar_decision refusal
       = decide (HS_SIDECAR_REFUSE, HS_REASON_SHED);
   struct hs_sidecar_decision decision;
@@ -919,12 +590,13 @@
    probed, its reset must not reach the caller: another upstream may own the
    flow.  */
 static struct hs_sidecar_decision
-mark_not_owned (struct hs_sidecar *sidecar, struct flow *flow, uint64_t now)
+mark_not_owned (struct hs_sidecar *sidecar, struct hs_sidecar_flow *flow,
+                uint64_t now)
 {
   struct hs_sidecar_decision decision = answer_not_owned (&flow->entry);
 
   flow->owes_lookup_answer = false;
-  set_request_active (sidecar, flow, false);
+  hs_sidecar_set_request_active (sidecar, flow, false);
   set_flow_open (sidecar, flow, false);
   hs_segment_flow_table_touch (sidecar->flows, &flow->base, now);
   flow->state = FLOW_NOT_OWNED;
@@ -983,7 +655,7 @@
 report_lost_flow (void *ctx, struct hs_segment_flow *base)
 {
   struct hs_sidecar *sidecar = ctx;
-  const struct flow *flow = (struct flow *)base;
+  const struct hs_sidecar_flow *flow = (struct hs_sidecar_flow *)base;
   struct hs_segment segment = { .from = base->key.caller,
                                 .to = base->key.address,
                                 .flags = HS_SEGMENT_ACK,
@@ -994,7 +666,8 @@
 }
 
 static void
-track_upstream_segment (struct hs_sidecar *sidecar, struct flow *flow,
+track_upstream_segment (struct hs_sidecar *sidecar,
+                        struct hs_sidecar_flow *flow,
                         const struct hs_segment *segment, uint64_t now)
 {
   unsigned int syn_ack = HS_SEGMENT_SYN | HS_SEGMENT_ACK;
@@ -1004,180 +677,17 @@
       flow->upstream_isn = segment->seq;
       flow->has_upstream_isn = true;
     }
-  if (segment->payload_len > 0 && flow->request_active)
-    {
-      if (is_rejection (sidecar, flow, now))
-        lower_capacity (sidecar, flow, now);
-      else if (!flow->is_uncertain_request)
-        {
-          update_mean_work (sidecar, flow, now);
-          add_cost_sample (sidecar, flow, now);
-        }
-    }
   if (segment->payload_len > 0)
-    set_request_active (sidecar, flow, false);
-  assign_slots (sidecar, now);
-}
-
-/* Updates the moving average.  */
-static void
-update_mean_work (struct hs_sidecar *sidecar, const struct flow *flow,
-                  uint64_t now)
-{
-  uint64_t work_us = work_us_by_share (sidecar, flow, now);
-
-  if (sidecar->mean_work_us == 0)
-    sidecar->mean_work_us = (uint32_t)work_us;
-  sidecar->mean_work_us
-      = (uint32_t)(((100 - WORK_EWMA_PERCENT) * (uint64_t)sidecar->mean_work_us
-                    + WORK_EWMA_PERCENT * work_us)
-                   / 100);
-}
-
-/* A request that is answered while it counts as waiting has shown that the
-   upstream does not serve its queue in order, or has more slots than is
-   known.  */
-static void
-add_cost_sample (struct hs_sidecar *sidecar, const struct flow *flow,
-                 uint64_t now)
-{
-  uint64_t work_us = flow->has_slot ? (now - flow->slot_since) * 1000
-                                    : work_us_by_share (sidecar, flow, now);
-
-  hs_cost_model_add_sample (sidecar->costs, &flow->base.key.address, work_us);
-}
-
-/* Returns the time that the request of FLOW has had of a slot.  A request that
-   started when more requests than slots were in progress had only a share of a
-   slot, so its duration is scaled by slots / requests.  */
-static uint64_t
-work_us_by_share (const struct hs_sidecar *sidecar, const struct flow *flow,
-                  uint64_t now)
-{
-  uint32_t slots = slots_of (sidecar);
-  uint32_t requests
-      = flow->requests_at_start > slots ? flow->requests_at_start : slots;
-
-  return (now - flow->request_started_at) * 1000 * slots / requests;
-}
-
-static uint32_t
-slots_of (const struct hs_sidecar *sidecar)
-{
-  return sidecar->last_heartbeat.slots != 0 ? sidecar->last_heartbeat.slots
-                                            : HS_SLOTS_DEFAULT;
-}
-
-/* Gives free slots to the requests that have waited longest, as the upstream
-   does.  */
-static void
-assign_slots (struct hs_sidecar *sidecar, uint64_t now)
-{
-  while (sidecar->slots_taken < slots_of (sidecar)
-         && !hs_list_is_empty (&sidecar->waiting_requests))
-    {
-      struct flow *flow = HS_LIST_ENTRY (
-          hs_list_pop (&sidecar->waiting_requests), struct flow, wait_link);
-
-      flow->has_slot = true;
-      flow->slot_since = now;
-      sidecar->slots_taken++;
-    }
-}
-
-/* Returns the expected time in slots that the upstream still needs for the
-   requests in progress and those about to come.  A slot that one long request
-   keeps busy while others get free delays a new request only by what it could
-   take over from them: it counts no longer than until a new request would have
-   ended in another slot.  */
-static uint32_t
-work_left_us (const struct hs_sidecar *sidecar, uint64_t now)
-{
-  uint32_t slots = slots_of (sidecar);
-  struct slot_times times
-      = { .len = slots <= SLOTS_ESTIMATED_MAX ? slots : 1 };
-  uint64_t limit_us, sum_us = 0;
-
-  HS_LIST_FOREACH (link, &sidecar->active_requests)
-    add_to_first_free (
-        &times,
-        request_work_us (
-            sidecar, HS_LIST_ENTRY (link, struct flow, request_link), now));
-  add_pending_work (&times, sidecar, now);
-  limit_us = *first_free (&times) + known_work_us (sidecar);
-  for (uint32_t i = 0; i < times.len; i++)
-    sum_us += MIN (times.until_free_us[i], limit_us);
-  return (uint32_t)MIN (sum_us, UINT32_MAX);
-}
-
-static uint64_t *
-first_free (struct slot_times *times)
-{
-  uint64_t *first = &times->until_free_us[0];
-
-  for (uint32_t i = 1; i < times->len; i++)
-    if (times->until_free_us[i] < *first)
-      first = &times->until_free_us[i];
-  return first;
-}
-
-static void
-add_to_first_free (struct slot_times *times, uint64_t work_us)
-{
-  *first_free (times) += work_us;
-}
-
-/* Returns the expected time of a request in a slot, in microseconds.  */
-static uint32_t
-expected_work_us (const struct hs_sidecar *sidecar, uint64_t now)
-{
-  uint32_t work_us = known_work_us (sidecar);
-
-  return cold_ms (sidecar, now) > 0 ? work_us * HS_COLD_WORK_PERCENT / 100
-                                    : work_us;
-}
-
-static uint32_t
-known_work_us (const struct hs_sidecar *sidecar)
-{
-  return sidecar->mean_work_us != 0 ? sidecar->mean_work_us
-                                    : HS_WORK_DEFAULT_US;
-}
-
-static uint64_t
-request_work_us (const struct hs_sidecar *sidecar, const struct flow *flow,
-                 uint64_t now)
-{
-  const struct hs_addr *address = &flow->base.key.address;
-
-  if (!flow->has_slot)
-    return hs_cost_model_expected_us (sidecar->costs, address);
-  return hs_cost_model_remaining_us (
-      sidecar->costs, address,
-      now > flow->slot_since ? (now - flow->slot_since) * 1000 : 0);
-}
-
-static void
-add_pending_work (struct slot_times *times, const struct hs_sidecar *sidecar,
-                  uint64_t now)
-{
-  HS_LIST_FOREACH (link, &sidecar->pending_syns)
-    {
-      const struct flow *flow
-          = HS_LIST_ENTRY (link, struct flow, pending_link);
-
-      if (now <= flow->syn_at + pending_timeout_ms (sidecar))
-        add_to_first_free (
-            times, hs_cost_model_expected_us (sidecar->costs,
-                                              &flow->base.key.address));
-    }
+    hs_sidecar_end_request (sidecar, flow, now);
+  hs_sidecar_assign_slots (sidecar, now);
 }
 
 /* Returns whether SEGMENT of the upstream is the first that shows that the
    upstream owns FLOW.  A SYN+ACK alone does not: it moves the flow to
    FLOW_SYN_ANSWERED.  */
 static bool
-confirms_ownership (struct flow *flow, const struct hs_segment *segment)
+confirms_ownership (struct hs_sidecar_flow *flow,
+                    const struct hs_segment *segment)
 {
   bool answers_syn = (segment->flags & HS_SEGMENT_SYN) != 0;
 
@@ -1206,7 +716,7 @@
    which then has sent nothing but its SYN+ACK, it can acknowledge nothing else
    of it.  */
 static bool
-acks_other_handshake (const struct flow *flow,
+acks_other_handshake (const struct hs_sidecar_flow *flow,
                       const struct hs_segment *segment)
 {
   if ((segment->flags & HS_SEGMENT_ACK) == 0)
@@ -1230,7 +740,7 @@
 /* Removes a flow that was reset or that both ends have closed.  Segments that
    still come are delivered, and the upstream answers them.  */
 static void
-track_close (struct hs_sidecar *sidecar, struct flow *flow,
+track_close (struct hs_sidecar *sidecar, struct hs_sidecar_flow *flow,
              const struct hs_segment *segment)
 {
   bool from_caller = hs_addr_equal (&segment->from, &flow->base.key.caller);
@@ -1245,74 +755,8 @@
 }
 
 static void
-set_request_active (struct hs_sidecar *sidecar, struct flow *flow, bool active)
-{
-  if (flow->request_active == active)
-    return;
-  flow->request_active = active;
-  sidecar->requests_in_progress += active ? 1 : (uint32_t)-1;
-  if (active)
-    {
-      hs_list_append (&sidecar->active_requests, &flow->request_link);
-      hs_list_append (&sidecar->waiting_requests, &flow->wait_link);
-      return;
-    }
-  hs_list_remove (&flow->request_link);
-  if (flow->has_slot)
-    sidecar->slots_taken--;
-  else
-    hs_list_remove (&flow->wait_link);
-  flow->has_slot = false;
-}
-
-/* SEGMENT of the caller has payload.  It begins a request unless one is in
-   progress or all of its payload was seen before.  */
-static void
-begin_request (struct hs_sidecar *sidecar, struct flow *flow,
-               const struct hs_segment *segment, uint64_t now)
-{
-  uint32_t end = segment->seq + segment->payload_len;
-  bool is_copy
-      = flow->has_caller_end && (int32_t)(end - flow->caller_end) <= 0;
-  bool is_uncertain = flow->is_recovered && !flow->has_caller_end;
-
-  if (is_copy)
-    return;
-  flow->has_caller_end = true;
-  flow->caller_end = end;
-  if (flow->request_active)
-    return;
-  if (flow->is_pending)
-    {
-      learn_handshake (sidecar, now - flow->syn_at);
-      learn_abandoned (sidecar, false);
-    }
-  set_syn_pending (sidecar, flow, false, now);
-  set_request_active (sidecar, flow, true);
-  flow->is_uncertain_request = is_uncertain;
-  flow->request_started_at = now;
-  flow->requests_at_start = sidecar->requests_in_progress;
-  assign_slots (sidecar, now);
-}
-
-static void
-expire_requests (struct hs_sidecar *sidecar, uint64_t now)
-{
-  HS_LIST_FOREACH (link, &sidecar->active_requests)
-    {
-      struct flow *flow = HS_LIST_ENTRY (link, struct flow, request_link);
-      uint64_t timeout_ms = flow->is_uncertain_request
-                                ? UNCERTAIN_REQUEST_TIMEOUT_MS
-                                : REQUEST_TIMEOUT_MS;
-
-      if (now - flow->request_started_at > timeout_ms)
-        set_request_active (sidecar, flow, false);
-    }
-  assign_slots (sidecar, now);
-}
-
-static void
-set_flow_open (struct hs_sidecar *sidecar, struct flow *flow, bool open)
+set_flow_open (struct hs_sidecar *sidecar, struct hs_sidecar_flow *flow,
+               bool open)
 {
   if (flow->is_open == open)
     return;
@@ -1323,9 +767,9 @@
 static void
 on_flow_removed (void *ctx, struct hs_segment_flow *base)
 {
-  set_syn_pending (ctx, (struct flow *)base, false, 0);
-  set_request_active (ctx, (struct flow *)base, false);
-  set_flow_open (ctx, (struct flow *)base, false);
+  hs_sidecar_set_syn_pending (ctx, (struct hs_sidecar_flow *)base, false, 0);
+  hs_sidecar_set_request_active (ctx, (struct hs_sidecar_flow *)base, false);
+  set_flow_open (ctx, (struct hs_sidecar_flow *)base, false);
 }
 
 static bool
@@ -1335,11 +779,12 @@
          && now - sidecar->syn_unanswered_since > SYN_TIMEOUT_MS;
 }
 
-static struct flow *
+static struct hs_sidecar_flow *
 find_or_add_flow (struct hs_sidecar *sidecar, const struct hs_segment_key *key,
                   uint64_t now)
 {
-  struct flow *flow = hs_segment_flow_table_find (sidecar->flows, key);
+  struct hs_sidecar_flow *flow
+      = hs_segment_flow_table_find (sidecar->flows, key);
 
   if (flow == NULL)
     return hs_segment_flow_table_add (sidecar->flows, key, now);
