--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -1060,6 +1060,11 @@
 /* Returns the number of zones that are listed.  */
 size_t hs_region_map_len (const struct hs_region_map *map);
 
+/* Returns the regions of the zones in the order listed, hs_region_map_len of
+   them, as a talloc child of PARENT.  The names are owned by MAP.  */
+const char **hs_region_map_regions (const struct hs_region_map *map,
+                                    void *parent);
+
 /* The regions whose upstreams may get the flows of a route.  */
 struct hs_region_set
 {
--- a/src/segment/region_map.c
+++ b/src/segment/region_map.c
@@ -10,6 +10,7 @@
 struct mapped_zone
 {
   struct hs_table_node node; /* By the id of the zone's name.  */
+  struct hs_list link;
   char zone[HS_NAME_SIZE];
   char region[HS_NAME_SIZE];
 };
@@ -17,6 +18,7 @@
 struct hs_region_map
 {
   struct hs_table *zones;
+  struct hs_list listed; /* The same, as listed.  */
 };
 
 /* Private functions.  */
@@ -39,6 +41,7 @@
   struct hs_region_map *map = talloc_zero (parent, struct hs_region_map);
 
   map->zones = hs_table_create (map);
+  hs_list_init (&map->listed);
   if (add_zones (map, text, error))
     return map;
   talloc_free (map);
@@ -65,6 +68,18 @@
   return hs_table_len (map->zones);
 }
 
+const char **
+hs_region_map_regions (const struct hs_region_map *map, void *parent)
+{
+  const char **regions
+      = talloc_array (parent, const char *, hs_region_map_len (map));
+  size_t len = 0;
+
+  HS_LIST_FOREACH (link, &map->listed)
+    regions[len++] = HS_LIST_ENTRY (link, struct mapped_zone, link)->region;
+  return regions;
+}
+
 bool
 hs_region_set_allows (const struct hs_region_set *set, uint64_t region_id)
 {
@@ -108,6 +123,7 @@
   g_strlcpy (mapped->zone, names[0], sizeof mapped->zone);
   g_strlcpy (mapped->region, names[1], sizeof mapped->region);
   hs_table_insert (map->zones, &mapped->node, hs_id_from_name (mapped->zone));
+  hs_list_append (&map->listed, &mapped->link);
   return true;
 }
 
--- a/src/tool/check.c
+++ b/src/tool/check.c
@@ -40,8 +40,6 @@
                              gsize *len, GError **error);
 static struct hs_configuration *parse_any (void *parent, const char *text,
                                            size_t len, GError **error);
-static bool parse_regions (void *parent, const char *zones,
-                           const char ***regions, size_t *len, GError **error);
 static int finish_report (struct report *report,
                           const struct program_settings *settings,
                           const struct hs_configuration *configuration);
@@ -146,10 +144,10 @@
   struct report report = { .path = path };
   const struct hs_configuration *configuration;
   const struct hs_configuration *previous = NULL;
-  const char **regions;
-  size_t regions_len;
+  const struct hs_region_map *zones
+      = hs_region_map_create (root, settings->zones, &error);
 
-  if (!parse_regions (root, settings->zones, &regions, &regions_len, &error))
+  if (zones == NULL)
     {
       hs_tool_report_error (error);
       return HS_EXIT_USAGE;
@@ -165,8 +163,9 @@
   if (configuration == NULL)
     report_malformed (&report, error);
   else
-    hs_configuration_review (configuration, regions, regions_len, on_finding,
-                             &report);
+    hs_configuration_review (configuration,
+                             hs_region_map_regions (zones, root),
+                             hs_region_map_len (zones), on_finding, &report);
   if (configuration != NULL && previous != NULL)
     hs_configuration_compare (configuration, previous, on_finding, &report);
   return finish_report (&report, settings, configuration);
@@ -242,35 +241,6 @@
   return configuration;
 }
 
-/* Sets REGIONS to the regions in ZONES, "ZONE:REGION,...".  The strings are
-   talloc children of PARENT.  */
-static bool
-parse_regions (void *parent, const char *zones, const char ***regions,
-               size_t *len, GError **error)
-{
-  g_auto (GStrv) items = g_strsplit (zones, ",", -1);
-  size_t items_len = g_strv_length (items);
-
-  *len = 0;
-  *regions = talloc_array (parent, const char *, items_len);
-  for (size_t i = 0; i < items_len; i++)
-    {
-      char *colon = strchr (items[i], ':');
-
-      if (colon != NULL)
-        *colon = '\0';
-      if (colon == NULL || !hs_name_is_valid (items[i])
-          || !hs_name_is_valid (colon + 1))
-        {
-          g_set_error (error, HS_ERROR, HS_ERROR_INVALID,
-                       "zones: expected ZONE:REGION,..., got '%s'", zones);
-          return false;
-        }
-      (*regions)[(*len)++] = talloc_strdup (*regions, colon + 1);
-    }
-  return true;
-}
-
 /* Prints what remains to be printed of REPORT and releases it.  CONFIGURATION
    is NULL if it could not be parsed.  Returns the exit status.  */
 static int
--- a/src/wire/group_command.c
+++ b/src/wire/group_command.c
@@ -19,10 +19,6 @@
 
 /* Private functions.  */
 
-static uint8_t *move_to_talloc (void *parent, msgpack_sbuffer *buffer,
-                                size_t *len);
-static bool open_array (msgpack_unpacked *unpacked, const uint8_t *data,
-                        size_t len, struct hs_unpacker *in);
 static bool unpack_order (struct hs_unpacker *in,
                           struct hs_evacuation_order *order);
 static bool unpack_snapshot (struct hs_unpacker *in,
@@ -47,7 +43,7 @@
   hs_pack_text (&out, order->zone);
   msgpack_pack_uint8 (&out, order->is_conditional);
   msgpack_pack_uint64 (&out, order->base_revision);
-  return move_to_talloc (parent, &buffer, len);
+  return hs_pack_finish (parent, &buffer, len);
 }
 
 struct hs_group_command *
@@ -61,7 +57,7 @@
   bool is_order;
 
   msgpack_unpacked_init (&unpacked);
-  is_order = open_array (&unpacked, data, len, &in)
+  is_order = hs_unpack_open (&unpacked, data, len, &in, NULL)
              && in.fields->size == ORDER_FIELDS;
   if (is_order && unpack_order (&in, &command->order))
     return command;
@@ -100,7 +96,7 @@
   msgpack_pack_array (&out, evacuations->len);
   for (size_t i = 0; i < evacuations->len; i++)
     hs_pack_text (&out, evacuations->zones[i]);
-  return move_to_talloc (parent, &buffer, len);
+  return hs_pack_finish (parent, &buffer, len);
 }
 
 struct hs_group_snapshot *
@@ -113,7 +109,7 @@
   struct hs_unpacker in;
 
   msgpack_unpacked_init (&unpacked);
-  if (open_array (&unpacked, data, len, &in)
+  if (hs_unpack_open (&unpacked, data, len, &in, NULL)
       && in.fields->size == SNAPSHOT_FIELDS)
     {
       if (unpack_snapshot (&in, snapshot, error))
@@ -130,31 +126,6 @@
 
 /* Private definitions.  */
 
-static uint8_t *
-move_to_talloc (void *parent, msgpack_sbuffer *buffer, size_t *len)
-{
-  uint8_t *data = talloc_memdup (parent, buffer->data, buffer->size);
-
-  *len = buffer->size;
-  msgpack_sbuffer_destroy (buffer);
-  return data;
-}
-
-static bool
-open_array (msgpack_unpacked *unpacked, const uint8_t *data, size_t len,
-            struct hs_unpacker *in)
-{
-  size_t used = 0;
-
-  if (len == 0 || hs_unpack_object_len (data, len) != len
-      || msgpack_unpack_next (unpacked, (const char *)data, len, &used)
-             != MSGPACK_UNPACK_SUCCESS
-      || unpacked->data.type != MSGPACK_OBJECT_ARRAY)
-    return false;
-  *in = (struct hs_unpacker){ &unpacked->data.via.array, 0, true };
-  return true;
-}
-
 static bool
 unpack_order (struct hs_unpacker *in, struct hs_evacuation_order *order)
 {
--- a/src/wire/pack.c
+++ b/src/wire/pack.c
@@ -3,6 +3,7 @@
 #include "wire/pack.h"
 
 #include <string.h>
+#include <talloc.h>
 
 /* Public definitions.  */
 
@@ -34,3 +35,13 @@
   msgpack_pack_str (out, len);
   msgpack_pack_str_body (out, text, len);
 }
+
+uint8_t *
+hs_pack_finish (void *parent, msgpack_sbuffer *buffer, size_t *len)
+{
+  uint8_t *data = talloc_memdup (parent, buffer->data, buffer->size);
+
+  *len = buffer->size;
+  msgpack_sbuffer_destroy (buffer);
+  return data;
+}
--- a/src/wire/pack.h
+++ b/src/wire/pack.h
@@ -25,4 +25,8 @@
 /* Packs a string, without its NUL.  */
 void hs_pack_text (msgpack_packer *out, const char *text);
 
+/* Moves the bytes of BUFFER to a talloc child of PARENT, which is returned,
+   and destroys BUFFER.  Their number is stored in LEN.  */
+uint8_t *hs_pack_finish (void *parent, msgpack_sbuffer *buffer, size_t *len);
+
 #endif /* HS_WIRE_PACK_H */
--- a/src/wire/replica_message.c
+++ b/src/wire/replica_message.c
@@ -19,8 +19,6 @@
 
 /* Private functions.  */
 
-static uint8_t *move_to_talloc (void *parent, msgpack_sbuffer *buffer,
-                                size_t *len);
 static void pack_host (msgpack_packer *out,
                        const struct hs_control_host *host);
 static void pack_members (msgpack_packer *out,
@@ -41,8 +39,6 @@
                               size_t *len);
 static void unpack_entries (struct hs_unpacker *in,
                             struct hs_replica_message *message);
-static bool decode_array (msgpack_unpacked *unpacked, const uint8_t *data,
-                          size_t len, struct hs_unpacker *in, GError **error);
 
 /* Public definitions.  */
 
@@ -77,7 +73,7 @@
   if (message->snapshot != NULL)
     pack_snapshot (&out, message->snapshot);
   msgpack_pack_uint8 (&out, 0); /* Reserved for a later version; not read.  */
-  return move_to_talloc (parent, &buffer, len);
+  return hs_pack_finish (parent, &buffer, len);
 }
 
 struct hs_replica_message *
@@ -93,7 +89,7 @@
   bool has_snapshot = false;
 
   msgpack_unpacked_init (&unpacked);
-  if (decode_array (&unpacked, data, len, &in, error))
+  if (hs_unpack_open (&unpacked, data, len, &in, error))
     {
       in.ok = hs_unpack_uint (&in, UINT8_MAX) == HS_INNER_REPLICA;
       message->type = (enum hs_replica_message_type)hs_unpack_uint (
@@ -143,7 +139,7 @@
   msgpack_pack_array (&out, record->snapshot != NULL ? SNAPSHOT_FIELDS : 0);
   if (record->snapshot != NULL)
     pack_snapshot (&out, record->snapshot);
-  return move_to_talloc (parent, &buffer, len);
+  return hs_pack_finish (parent, &buffer, len);
 }
 
 struct hs_replica_record *
@@ -158,7 +154,7 @@
   uint32_t entries_len;
 
   msgpack_unpacked_init (&unpacked);
-  if (decode_array (&unpacked, data, len, &in, error))
+  if (hs_unpack_open (&unpacked, data, len, &in, error))
     {
       record->type = (enum hs_replica_record_type)hs_unpack_uint (
           &in, HS_REPLICA_RECORD_COMMIT);
@@ -194,7 +190,7 @@
   msgpack_pack_uint64 (&out, stored->version);
   pack_bytes (&out, stored->source, stored->source_len);
   pack_bytes (&out, stored->encoded, stored->encoded_len);
-  return move_to_talloc (parent, &buffer, len);
+  return hs_pack_finish (parent, &buffer, len);
 }
 
 struct hs_stored_configuration *
@@ -207,7 +203,7 @@
   struct hs_unpacker in;
 
   msgpack_unpacked_init (&unpacked);
-  if (decode_array (&unpacked, data, len, &in, error))
+  if (hs_unpack_open (&unpacked, data, len, &in, error))
     {
       stored->version = hs_unpack_uint (&in, UINT64_MAX);
       stored->source = unpack_bytes (&in, stored, &stored->source_len);
@@ -224,16 +220,6 @@
 
 /* Private definitions.  */
 
-static uint8_t *
-move_to_talloc (void *parent, msgpack_sbuffer *buffer, size_t *len)
-{
-  uint8_t *data = talloc_memdup (parent, buffer->data, buffer->size);
-
-  *len = buffer->size;
-  msgpack_sbuffer_destroy (buffer);
-  return data;
-}
-
 static void
 pack_host (msgpack_packer *out, const struct hs_control_host *host)
 {
@@ -354,22 +340,3 @@
     message->entries[i] = unpack_entry (&entries, message);
   in->ok = in->ok && entries.ok;
 }
-
-static bool
-decode_array (msgpack_unpacked *unpacked, const uint8_t *data, size_t len,
-              struct hs_unpacker *in, GError **error)
-{
-  size_t used = 0;
-
-  if (hs_unpack_object_len (data, len) == len && len > 0
-      && msgpack_unpack_next (unpacked, (const char *)data, len, &used)
-             == MSGPACK_UNPACK_SUCCESS
-      && unpacked->data.type == MSGPACK_OBJECT_ARRAY)
-    {
-      *in = (struct hs_unpacker){ &unpacked->data.via.array, 0, true };
-      return true;
-    }
-  g_set_error (error, HS_ERROR, HS_ERROR_MALFORMED,
-               "malformed MessagePack: expected exactly one array");
-  return false;
-}
--- a/src/wire/unpack.c
+++ b/src/wire/unpack.c
@@ -74,6 +74,25 @@
   return offset;
 }
 
+bool
+hs_unpack_open (msgpack_unpacked *unpacked, const uint8_t *data, size_t len,
+                struct hs_unpacker *in, GError **error)
+{
+  size_t used = 0;
+
+  if (hs_unpack_object_len (data, len) == len && len > 0
+      && msgpack_unpack_next (unpacked, (const char *)data, len, &used)
+             == MSGPACK_UNPACK_SUCCESS
+      && unpacked->data.type == MSGPACK_OBJECT_ARRAY)
+    {
+      *in = (struct hs_unpacker){ &unpacked->data.via.array, 0, true };
+      return true;
+    }
+  g_set_error (error, HS_ERROR, HS_ERROR_MALFORMED,
+               "malformed MessagePack: expected exactly one array");
+  return false;
+}
+
 uint64_t
 hs_unpack_uint (struct hs_unpacker *in, uint64_t max)
 {
--- a/src/wire/unpack.h
+++ b/src/wire/unpack.h
@@ -29,6 +29,12 @@
    bytes that have passed this check may be given to it.  */
 size_t hs_unpack_object_len (const uint8_t *data, size_t len);
 
+/* Decodes DATA, which must be exactly one array, to UNPACKED, which must have
+   been initialized, and sets IN to its elements.  Returns false with
+   HS_ERROR_MALFORMED if it is not.  */
+bool hs_unpack_open (msgpack_unpacked *unpacked, const uint8_t *data,
+                     size_t len, struct hs_unpacker *in, GError **error);
+
 /* Reads an unsigned integer of at most MAX.  */
 uint64_t hs_unpack_uint (struct hs_unpacker *in, uint64_t max);
 
