Do not hold SYNs that are refused since the upstream is cold

The end-to-end test cold failed once held SYNs were merged: 40 to 60 SYNs were held at upstreams that bear five flows a second. They go to another agent again, and callers are refused at once if none has room.

--- a/src/agent/held_syns.c
+++ b/src/agent/held_syns.c
@@ -143,12 +143,16 @@
 
 /* Private definitions.  */
 
+/* A SYN that is refused since the upstream is cold goes to another agent: the
+   room for it comes at the rate that the upstream bears, not as slots get
+   free.  */
 static bool
 may_hold (struct hs_held_syns *held, size_t len,
           const struct hs_syn_terms *terms,
           const struct hs_sidecar_decision *decision, uint64_t now)
 {
-  return is_for_want_of_room (decision) && terms->hold_max_ms > 0
+  return decision->action == HS_SIDECAR_REFUSE
+         && decision->reason == HS_REASON_OVERLOADED && terms->hold_max_ms > 0
          && len <= HS_HELD_SYN_SIZE_MAX
          && hs_syn_queue_room (held->queue, hs_sidecar_slots (held->sidecar),
                                hs_sidecar_learned_work_us (held->sidecar),
