--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -1019,7 +1019,7 @@
 /* The object owns all strings and arrays that it points to.  */
 struct hs_configuration
 {
-  uint64_t version; /* The highest version takes effect.  */
+  uint64_t version; /* The highest version takes effect; 0 is a version.  */
   size_t routes_len;
   struct hs_service_route *routes;
   size_t services_len;
@@ -1035,6 +1035,11 @@
                                                  const char *json, size_t len,
                                                  GError **error);
 
+/* Returns the generation of the configuration with VERSION.  Generations are
+   in the order of the versions and begin at 1, so that 0 stands for no
+   configuration wherever a generation is kept or sent.  */
+uint64_t hs_configuration_generation (uint64_t version);
+
 /* Checks that the values are allowed and consistent with each other.  Returns
    false with HS_ERROR_INVALID, which names the route and the requirement that
    it does not meet.  */
@@ -1198,6 +1203,9 @@
                          const struct hs_routing *previous, uint64_t now,
                          uint64_t until);
 uint64_t hs_routing_version (const struct hs_routing *routing);
+
+/* ROUTING: NULL if no configuration is in force.  */
+uint64_t hs_routing_generation (const struct hs_routing *routing);
 uint32_t hs_routing_flow_idle_ms (const struct hs_routing *routing);
 
 /* Returns the new flows in 1,000 s that an upstream of the service bears while
@@ -1987,10 +1995,10 @@
 void hs_sidecar_set_flow_lifetime (struct hs_sidecar *sidecar,
                                    uint64_t lifetime_ms);
 
-/* FLOW_IDLE_MS is that of the configuration of version VERSION.  Earlier
-   versions than that of the previous call are ignored.  Before the first call,
-   flows are kept for their longest lifetime.  */
-void hs_sidecar_set_flow_idle (struct hs_sidecar *sidecar, uint64_t version,
+/* FLOW_IDLE_MS is that of the configuration of GENERATION.  Earlier
+   generations than that of the previous call are ignored.  Before the first
+   call, flows are kept for their longest lifetime.  */
+void hs_sidecar_set_flow_idle (struct hs_sidecar *sidecar, uint64_t generation,
                                uint32_t flow_idle_ms);
 
 /* Returns false and sets HS_ERROR_INVALID if HEARTBEAT has another service or
--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -110,7 +110,7 @@
                       const struct hs_segment *segment,
                       const struct hs_sidecar_decision *decision,
                       uint64_t now);
-static bool on_configuration (void *ctx, uint64_t base_version,
+static bool on_configuration (void *ctx, uint64_t base_generation,
                               const uint8_t *bytes, size_t len);
 static void on_agents_changed (void *ctx);
 static void on_evacuations_changed (void *ctx,
@@ -466,9 +466,9 @@
   if (message->type == HS_INNER_LOAD_QUERY)
     {
       hs_load_queriers_add (agent->load_queriers, &packet->peer, now);
-      if (message->load_query.configuration_version != 0)
+      if (message->load_query.configuration_generation != 0)
         hs_sidecar_set_flow_idle (agent->sidecar,
-                                  message->load_query.configuration_version,
+                                  message->load_query.configuration_generation,
                                   message->load_query.flow_idle_ms);
       send_load_report (agent, &packet->peer);
     }
@@ -547,11 +547,11 @@
 
 /* Agents fetch no configuration; load queries tell them what they need.  */
 static bool
-on_configuration (void *ctx, uint64_t base_version, const uint8_t *bytes,
+on_configuration (void *ctx, uint64_t base_generation, const uint8_t *bytes,
                   size_t len)
 {
   (void)ctx;
-  (void)base_version;
+  (void)base_generation;
   (void)bytes;
   (void)len;
   return true;
--- a/src/control/group.c
+++ b/src/control/group.c
@@ -466,8 +466,7 @@
      version in force is certain to be: a call with a higher version must
      propose it again.  */
   if (is_leader && !group->was_leader)
-    group->proposed_version
-        = group->current != NULL ? group->current->version : 0;
+    group->proposed_generation = hs_group_generation (group);
   group->was_leader = is_leader;
   hs_log_write (group->log, HS_LOG_INFO, "group-changed",
                 "{s:b, s:s, s:I, s:i, s:I}", "leads", is_leader, "leader",
--- a/src/control/group_calls.c
+++ b/src/control/group_calls.c
@@ -33,6 +33,7 @@
                                  struct hs_group_call *call);
 static json_t *format_host (const struct hs_control_host *host, bool is_voter,
                             bool is_leader);
+static json_t *format_version (uint64_t generation);
 static void append_node (void *ctx,
                          const struct hs_inner_heartbeat *heartbeat);
 
@@ -107,15 +108,16 @@
 start_replace (struct hs_group *group, struct hs_group_call *call,
                uint64_t now)
 {
-  uint64_t version = call->configuration->version;
+  uint64_t generation
+      = hs_configuration_generation (call->configuration->version);
 
   call->log_index = hs_replica_last_index (group->replica);
-  if (version <= group->proposed_version)
+  if (generation <= group->proposed_generation)
     return;
   call->log_index = propose (group, call, now);
   if (call->log_index != 0)
     {
-      group->proposed_version = version;
+      group->proposed_generation = generation;
       return;
     }
   hs_list_remove (&call->link);
@@ -162,12 +164,18 @@
          || now - call->received_at > CALL_TIMEOUT_MS;
 }
 
+/* A replacement is acknowledged only while a configuration at least as new as
+   its own is in force.  */
 static bool
 is_confirmed (const struct hs_group *group, const struct hs_group_call *call)
 {
   if (is_read (call))
     return hs_replica_confirmed_round (group->replica) >= call->read_round;
-  return hs_replica_applied_index (group->replica) >= call->log_index;
+  if (hs_replica_applied_index (group->replica) < call->log_index)
+    return false;
+  return call->configuration == NULL
+         || hs_group_generation (group)
+                >= hs_configuration_generation (call->configuration->version);
 }
 
 static void
@@ -204,13 +212,12 @@
   hs_counter_add (group->metrics.accepted, 1);
   hs_histogram_observe (group->metrics.acknowledge_ms,
                         now - call->received_at);
-  hs_log_write (
-      group->log, HS_LOG_INFO, "configuration-acknowledged",
-      "{s:I, s:I, s:I, s:I}", "version",
-      (json_int_t)call->configuration->version, "in_force",
-      (json_int_t)(group->current != NULL ? group->current->version : 0),
-      "index", (json_int_t)call->log_index, "took_ms",
-      (json_int_t)(now - call->received_at));
+  hs_log_write (group->log, HS_LOG_INFO, "configuration-acknowledged",
+                "{s:I, s:I, s:I, s:I}", "version",
+                (json_int_t)call->configuration->version, "in_force",
+                (json_int_t)group->current->version, "index",
+                (json_int_t)call->log_index, "took_ms",
+                (json_int_t)(now - call->received_at));
   hs_group_call_answer (call, STATUS_OK, HS_OUTCOME_RAN, "accepted");
 }
 
@@ -253,13 +260,13 @@
   hs_node_table_foreach (group->nodes, HS_ROLE_ENTRY, append_node, nodes);
   hs_node_table_foreach (group->nodes, HS_ROLE_AGENT, append_node, nodes);
   json = json_pack (
-      "{s:s, s:b, s:I, s:I, s:I, s:I, s:b, s:o, s:o}", "name",
+      "{s:s, s:b, s:I, s:I, s:I, s:o, s:b, s:o, s:o}", "name",
       group->settings.name, "leads", hs_replica_is_leader (group->replica),
       "term", (json_int_t)hs_replica_term (group->replica), "applied",
       (json_int_t)hs_replica_applied_index (group->replica), "last",
       (json_int_t)hs_replica_last_index (group->replica), "version",
-      (json_int_t)(group->current != NULL ? group->current->version : 0),
-      "disk_works", !group->disk_failed, "hosts", hosts, "nodes", nodes);
+      format_version (hs_group_generation (group)), "disk_works",
+      !group->disk_failed, "hosts", hosts, "nodes", nodes);
   text = json_dumps (json, JSON_INDENT (2));
   hs_group_call_answer_json (call, text);
   free (text);
@@ -277,6 +284,15 @@
                     "votes", is_voter, "leads", is_leader);
 }
 
+/* Returns the version of the configuration of GENERATION, or null for none, as
+   at agents, which fetch no configuration.  */
+static json_t *
+format_version (uint64_t generation)
+{
+  return generation != 0 ? json_integer ((json_int_t)(generation - 1))
+                         : json_null ();
+}
+
 static void
 append_node (void *ctx, const struct hs_inner_heartbeat *heartbeat)
 {
@@ -285,8 +301,8 @@
   hs_addr_format (&heartbeat->address, address);
   json_array_append_new (
       ctx,
-      json_pack ("{s:s, s:s, s:s, s:s, s:I}", "name", heartbeat->name, "role",
+      json_pack ("{s:s, s:s, s:s, s:s, s:o}", "name", heartbeat->name, "role",
                  heartbeat->role == HS_ROLE_ENTRY ? "entry" : "agent", "zone",
                  heartbeat->zone, "address", address, "version_in_force",
-                 (json_int_t)heartbeat->configuration_version));
+                 format_version (heartbeat->configuration_generation)));
 }
--- a/src/control/group_nodes.c
+++ b/src/control/group_nodes.c
@@ -17,7 +17,7 @@
 /* Private functions.  */
 
 static const uint8_t *find_patch (struct hs_group *group,
-                                  uint64_t base_version, size_t *len);
+                                  uint64_t base_generation, size_t *len);
 static void compute_patch (struct hs_group *group,
                            struct hs_group_patch *patch);
 static void fill_chunk (struct hs_inner_chunk *chunk, const uint8_t *bytes,
@@ -47,8 +47,9 @@
   hs_counter_add (group->metrics.heartbeats, 1);
   if (change != HS_NODE_UNCHANGED)
     hs_log_write (group->log, HS_LOG_INFO, "node-heard", "{s:s, s:s, s:I}",
-                  "name", heartbeat->name, "zone", heartbeat->zone, "version",
-                  (json_int_t)heartbeat->configuration_version);
+                  "name", heartbeat->name, "zone", heartbeat->zone,
+                  "generation",
+                  (json_int_t)heartbeat->configuration_generation);
   if (change == HS_NODE_ADDED && heartbeat->role == HS_ROLE_AGENT
       && new_agents->len < HS_INNER_ADDRS_MAX)
     new_agents->values[new_agents->len++] = heartbeat->address;
@@ -68,13 +69,13 @@
   struct hs_inner reply = { .type = HS_INNER_CHUNK };
   const struct hs_stored_configuration *stored = group->current;
   size_t len = 0;
-  const uint8_t *patch = find_patch (group, request->base_version, &len);
+  const uint8_t *patch = find_patch (group, request->base_generation, &len);
 
-  reply.chunk.version = request->version;
+  reply.chunk.generation = request->generation;
   if (stored != NULL)
-    reply.chunk.version = stored->version;
+    reply.chunk.generation = hs_configuration_generation (stored->version);
   if (patch != NULL)
-    reply.chunk.base_version = request->base_version;
+    reply.chunk.base_generation = request->base_generation;
   if (patch != NULL)
     fill_chunk (&reply.chunk, patch, len, request->offset);
   else if (stored != NULL)
@@ -117,10 +118,9 @@
       group->new_agents.len = 0;
       group->next_agents_notice_at = now + AGENTS_NOTICE_INTERVAL_MS;
     }
-  if (group->current == NULL
-      || group->notified_version == group->current->version)
+  if (group->notified_generation == hs_group_generation (group))
     return;
-  group->notified_version = group->current->version;
+  group->notified_generation = hs_group_generation (group);
   if (hs_replica_is_leader (group->replica))
     hs_node_table_foreach (group->nodes, HS_ROLE_ENTRY, notify_entry, group);
 }
@@ -147,18 +147,19 @@
 
 /* Private definitions.  */
 
-/* Returns the patch from BASE_VERSION to the current one, or NULL if
-   BASE_VERSION is not in the history or the whole configuration is not longer
-   than the patch.  */
+/* Returns the patch from BASE_GENERATION to the current configuration, or NULL
+   if BASE_GENERATION is not in the history or the whole configuration is not
+   longer than the patch.  */
 static const uint8_t *
-find_patch (struct hs_group *group, uint64_t base_version, size_t *len)
+find_patch (struct hs_group *group, uint64_t base_generation, size_t *len)
 {
   for (size_t i = 0; i < HS_GROUP_HISTORY_MAX; i++)
     {
       struct hs_group_patch *patch = &group->history[i];
 
       if (patch->base_configuration == NULL
-          || patch->base_configuration->version != base_version)
+          || hs_configuration_generation (patch->base_configuration->version)
+                 != base_generation)
         continue;
       if (patch->bytes == NULL)
         compute_patch (group, patch);
@@ -254,8 +255,7 @@
 {
   struct hs_control_host hosts[HS_INNER_ADDRS_MAX];
 
-  status->configuration_version
-      = group->current != NULL ? group->current->version : 0;
+  status->configuration_generation = hs_group_generation (group);
   status->agents_digest = hs_node_table_agents_digest (group->nodes);
   status->control_hosts.len
       = hs_replica_list_hosts (group->replica, hosts, HS_INNER_ADDRS_MAX);
--- a/src/control/group_state.h
+++ b/src/control/group_state.h
@@ -89,21 +89,26 @@
   bool draining;
   bool was_leader; /* This host was the leader when the state of the replica
                       last changed.  */
-  uint64_t proposed_version; /* Version of the newest configuration known to be
-                                in the log.  */
+  uint64_t proposed_generation; /* Of the newest configuration known to be in
+                                   the log; 0: none.  */
   struct hs_stored_configuration *current; /* In force; NULL: none yet.  */
   struct hs_group_patch history[HS_GROUP_HISTORY_MAX]; /* Newest first.  */
   struct hs_evacuations evacuations;                   /* In force.  */
-  uint64_t notified_evacuations; /* Newest revision that nodes were notified
-                                    of.  */
-  uint64_t notified_version;     /* Newest version that entries were notified
-                                    of.  */
+  uint64_t notified_evacuations;    /* Newest revision that nodes were notified
+                                       of.  */
+  uint64_t notified_generation;     /* Of the newest configuration that entries
+                                       were notified of; 0: none.  */
   struct hs_inner_addrs new_agents; /* Agents that the entries have not been
                                        notified of yet; once it is full, the
                                        entries find out by the digest.  */
   uint64_t next_agents_notice_at;   /* ms  */
 };
 
+/* group_store.c: the configuration in force.  */
+
+/* Returns the generation of the configuration in force; 0: none yet.  */
+uint64_t hs_group_generation (const struct hs_group *group);
+
 /* group_nodes.c: messages from and to entries and agents.  */
 
 void hs_group_on_heartbeat (struct hs_group *group, const struct hs_addr *from,
--- a/src/control/group_store.c
+++ b/src/control/group_store.c
@@ -152,6 +152,14 @@
   return hs_group_snapshot_encode (parent, &snapshot, len);
 }
 
+uint64_t
+hs_group_generation (const struct hs_group *group)
+{
+  return group->current != NULL
+             ? hs_configuration_generation (group->current->version)
+             : 0;
+}
+
 /* Private definitions.  */
 
 /* Takes ownership of STORED if its version is higher than that in force.  */
@@ -163,8 +171,8 @@
   if (group->current != NULL)
     hs_group_push_history (group, group->current);
   group->current = talloc_steal (group->decision_worker, stored);
-  if (stored->version > group->proposed_version)
-    group->proposed_version = stored->version;
+  if (hs_group_generation (group) > group->proposed_generation)
+    group->proposed_generation = hs_group_generation (group);
   hs_counter_set (group->metrics.configuration_version, stored->version);
   hs_log_write (group->log, HS_LOG_INFO, "configuration-in-force",
                 "{s:I, s:I}", "version", (json_int_t)stored->version, "bytes",
--- a/src/daemon/follower.c
+++ b/src/daemon/follower.c
@@ -58,11 +58,11 @@
 struct fetch
 {
   struct hs_addr from;
-  uint64_t version;       /* 0: no fetch in progress.  */
-  uint64_t base_version;  /* Version that the fetched patch applies to; 0: the
-                             whole configuration is fetched.  */
-  uint32_t total_len;     /* Bytes; 0: no chunk received yet.  */
-  uint32_t requested_len; /* Chunks below this offset were requested.  */
+  uint64_t generation;      /* 0: no fetch in progress.  */
+  uint64_t base_generation; /* What the fetched patch applies to; 0: the whole
+                               configuration is fetched.  */
+  uint32_t total_len;       /* Bytes; 0: no chunk received yet.  */
+  uint32_t requested_len;   /* Chunks below this offset were requested.  */
   uint32_t missing_chunks;
   uint32_t idle_rounds; /* Since the last chunk.  */
   uint8_t *bytes;
@@ -115,7 +115,7 @@
 static void update_agent_addrs (struct hs_follower *follower);
 static bool match_address (const struct hs_table_node *node, const void *key);
 static void start_fetch (struct hs_follower *follower,
-                         const struct hs_addr *from, uint64_t version);
+                         const struct hs_addr *from, uint64_t generation);
 static void request_chunks (struct hs_follower *follower);
 static void request_chunk (struct hs_follower *follower, uint32_t offset);
 static void request_missing_chunks (struct hs_follower *follower);
@@ -192,7 +192,7 @@
       = now + (is_starting (follower) ? STARTUP_ROUND_MS : ROUND_MS);
   for (size_t i = heartbeats_per_round (follower); i > 0; i--)
     send_heartbeat (follower, now);
-  if (follower->fetch.version != 0)
+  if (follower->fetch.generation != 0)
     request_missing_chunks (follower);
   /* While no control host replies, no list refreshes the agents: keep them
      all.  */
@@ -209,9 +209,9 @@
 }
 
 void
-hs_follower_set_version (struct hs_follower *follower, uint64_t version)
+hs_follower_set_generation (struct hs_follower *follower, uint64_t generation)
 {
-  follower->self.configuration_version = version;
+  follower->self.configuration_generation = generation;
 }
 
 const struct hs_follower_agents *
@@ -226,7 +226,7 @@
 is_starting (const struct hs_follower *follower)
 {
   return follower->self.role == HS_ROLE_ENTRY
-             ? follower->self.configuration_version == 0
+             ? follower->self.configuration_generation == 0
                    || hs_list_is_empty (&follower->agents)
              : follower->last_heard_at == 0;
 }
@@ -289,9 +289,10 @@
   if (follower->self.role != HS_ROLE_ENTRY)
     return;
   handle_agents (follower, status, now);
-  if (status->configuration_version > follower->self.configuration_version
-      && status->configuration_version > follower->fetch.version)
-    start_fetch (follower, from, status->configuration_version);
+  if (status->configuration_generation
+          > follower->self.configuration_generation
+      && status->configuration_generation > follower->fetch.generation)
+    start_fetch (follower, from, status->configuration_generation);
 }
 
 /* STATUS lists all agents, some, or none.  Agents that it does not list stay:
@@ -404,11 +405,11 @@
 
 static void
 start_fetch (struct hs_follower *follower, const struct hs_addr *from,
-             uint64_t version)
+             uint64_t generation)
 {
   reset_fetch (follower);
   follower->fetch.from = *from;
-  follower->fetch.version = version;
+  follower->fetch.generation = generation;
   request_chunk (follower, 0);
   follower->fetch.requested_len = HS_INNER_CHUNK_SIZE_MAX;
 }
@@ -432,9 +433,9 @@
 {
   struct hs_inner message = { .type = HS_INNER_FETCH };
 
-  message.chunk.version = follower->fetch.version;
-  message.chunk.base_version
-      = follower->needs_whole ? 0 : follower->self.configuration_version;
+  message.chunk.generation = follower->fetch.generation;
+  message.chunk.base_generation
+      = follower->needs_whole ? 0 : follower->self.configuration_generation;
   message.chunk.offset = offset;
   follower->ops.send (follower->ctx, &follower->fetch.from, &message);
 }
@@ -471,8 +472,8 @@
   struct fetch *fetch = &follower->fetch;
   uint32_t index = chunk->offset / HS_INNER_CHUNK_SIZE_MAX;
 
-  if (fetch->version == 0 || !hs_addr_equal (from, &fetch->from)
-      || chunk->version < fetch->version
+  if (fetch->generation == 0 || !hs_addr_equal (from, &fetch->from)
+      || chunk->generation < fetch->generation
       || chunk->total_len > CONFIGURATION_SIZE_MAX)
     return;
   if (chunk->total_len == 0)
@@ -480,19 +481,19 @@
       reset_fetch (follower);
       return;
     }
-  /* The host now has a later version, or no longer has the patch for this
-     node's version.  Chunks of the two must not be mixed: start over.  */
+  /* The host now has a later generation, or no longer has the patch for this
+     node's.  Chunks of the two must not be mixed: start over.  */
   if (fetch->total_len != 0
-      && (chunk->version > fetch->version
-          || chunk->base_version != fetch->base_version))
+      && (chunk->generation > fetch->generation
+          || chunk->base_generation != fetch->base_generation))
     {
-      start_fetch (follower, from, chunk->version);
+      start_fetch (follower, from, chunk->generation);
       return;
     }
   if (fetch->total_len == 0)
     {
-      fetch->version = chunk->version;
-      fetch->base_version = chunk->base_version;
+      fetch->generation = chunk->generation;
+      fetch->base_generation = chunk->base_generation;
       fetch->total_len = chunk->total_len;
       fetch->missing_chunks = chunk_count (chunk->total_len);
       fetch->bytes = talloc_array (follower, uint8_t, chunk->total_len);
@@ -515,7 +516,7 @@
       return;
     }
   follower->needs_whole = !follower->ops.apply_configuration (
-      follower->ctx, fetch->base_version, fetch->bytes, fetch->total_len);
+      follower->ctx, fetch->base_generation, fetch->bytes, fetch->total_len);
   reset_fetch (follower);
 }
 
@@ -524,7 +525,7 @@
 {
   talloc_free (follower->fetch.bytes);
   talloc_free (follower->fetch.chunk_received);
-  follower->fetch = (struct fetch){ .version = 0 };
+  follower->fetch = (struct fetch){ .generation = 0 };
 }
 
 static uint32_t
--- a/src/daemon/follower.h
+++ b/src/daemon/follower.h
@@ -31,10 +31,10 @@
   void (*send) (void *ctx, const struct hs_addr *to,
                 const struct hs_inner *inner);
 
-  /* BYTES hold the encoded configuration or, if BASE_VERSION is not 0, a patch
-     for that version.  Returns false if they cannot be applied: the whole
-     configuration is then fetched.  */
-  bool (*apply_configuration) (void *ctx, uint64_t base_version,
+  /* BYTES hold the encoded configuration or, if BASE_GENERATION is not 0, a
+     patch for that generation.  Returns false if they cannot be applied: the
+     whole configuration is then fetched.  */
+  bool (*apply_configuration) (void *ctx, uint64_t base_generation,
                                const uint8_t *bytes, size_t len);
 
   /* Agents were added to or removed from hs_follower_agents.  */
@@ -50,7 +50,7 @@
 };
 
 /* SELF describes this node and is copied; the follower updates its
-   configuration_version and wants_agents.  The result is a talloc child of
+   configuration_generation and wants_agents.  The result is a talloc child of
    PARENT.  */
 struct hs_follower *hs_follower_create (void *parent,
                                         const struct hs_inner_heartbeat *self,
@@ -72,8 +72,9 @@
    it every 100 ms.  */
 void hs_follower_tick (struct hs_follower *follower, uint64_t now);
 
-/* VERSION is that of the configuration now in force on this node.  */
-void hs_follower_set_version (struct hs_follower *follower, uint64_t version);
+/* GENERATION is that of the configuration now in force on this node.  */
+void hs_follower_set_generation (struct hs_follower *follower,
+                                 uint64_t generation);
 
 /* The result belongs to FOLLOWER and changes with hs_follower_receive and
    hs_follower_tick.  Empty if this node is an agent.  */
--- a/src/daemon/segment_node.c
+++ b/src/daemon/segment_node.c
@@ -29,7 +29,7 @@
 static void on_tick (void *ctx, uint64_t now);
 static void on_follower_send (void *ctx, const struct hs_addr *to,
                               const struct hs_inner *inner);
-static bool on_apply_configuration (void *ctx, uint64_t base_version,
+static bool on_apply_configuration (void *ctx, uint64_t base_generation,
                                     const uint8_t *bytes, size_t len);
 static void on_agents_changed (void *ctx);
 static void on_evacuations_changed (void *ctx,
@@ -337,12 +337,13 @@
 }
 
 static bool
-on_apply_configuration (void *ctx, uint64_t base_version, const uint8_t *bytes,
-                        size_t len)
+on_apply_configuration (void *ctx, uint64_t base_generation,
+                        const uint8_t *bytes, size_t len)
 {
   struct hs_segment_node *node = ctx;
 
-  return node->ops.apply_configuration (node->ctx, base_version, bytes, len);
+  return node->ops.apply_configuration (node->ctx, base_generation, bytes,
+                                        len);
 }
 
 static void
--- a/src/daemon/segment_node.h
+++ b/src/daemon/segment_node.h
@@ -38,7 +38,7 @@
                           const struct hs_inner *inner, uint64_t now);
 
   /* As in struct hs_follower_ops.  */
-  bool (*apply_configuration) (void *ctx, uint64_t base_version,
+  bool (*apply_configuration) (void *ctx, uint64_t base_generation,
                                const uint8_t *bytes, size_t len);
   void (*agents_changed) (void *ctx);
   void (*evacuations_changed) (void *ctx,
--- a/src/document/configuration.c
+++ b/src/document/configuration.c
@@ -57,6 +57,12 @@
   return NULL;
 }
 
+uint64_t
+hs_configuration_generation (uint64_t version)
+{
+  return version + 1;
+}
+
 const char *
 hs_request_class_name (enum hs_request_class request_class)
 {
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -123,14 +123,14 @@
                              uint64_t owner_id);
 static void on_load_report (struct hs_segment_entry *entry,
                             const struct hs_load_report *report, uint64_t now);
-static bool on_configuration (void *ctx, uint64_t base_version,
+static bool on_configuration (void *ctx, uint64_t base_generation,
                               const uint8_t *bytes, size_t len);
 static void replace_routing (struct hs_segment_entry *entry,
                              const struct hs_configuration *configuration,
                              uint64_t now);
 static uint64_t flow_lifetime_ms (const struct hs_segment_entry *entry);
 static uint8_t *decode_update (struct hs_segment_entry *entry,
-                               uint64_t base_version, const uint8_t *bytes,
+                               uint64_t base_generation, const uint8_t *bytes,
                                size_t len, size_t *uncompressed_len,
                                GError **error);
 static void on_agents_changed (void *ctx);
@@ -181,7 +181,7 @@
                             enum hs_reason reason, const char *caller,
                             const char *address,
                             const struct hs_pool_agent *agent, uint64_t now);
-static json_int_t routing_version (const struct hs_segment_entry *entry);
+static json_int_t version_of (uint64_t generation);
 static void update_readiness (struct hs_segment_entry *entry, uint64_t now);
 
 /* Public definitions.  */
@@ -537,13 +537,13 @@
 }
 
 static bool
-on_configuration (void *ctx, uint64_t base_version, const uint8_t *bytes,
+on_configuration (void *ctx, uint64_t base_generation, const uint8_t *bytes,
                   size_t len)
 {
   struct hs_segment_entry *entry = ctx;
   g_autoptr (GError) error = NULL;
   size_t uncompressed_len;
-  uint8_t *uncompressed = decode_update (entry, base_version, bytes, len,
+  uint8_t *uncompressed = decode_update (entry, base_generation, bytes, len,
                                          &uncompressed_len, &error);
   HS_AUTO_TALLOC struct hs_configuration *configuration
       = uncompressed != NULL ? hs_configuration_unpack (
@@ -553,8 +553,8 @@
   if (configuration == NULL)
     {
       hs_log_write (entry->log, HS_LOG_ERROR, "configuration-unreadable",
-                    "{s:I, s:s}", "base", (json_int_t)base_version, "error",
-                    error->message);
+                    "{s:I, s:s}", "base", version_of (base_generation),
+                    "error", error->message);
       talloc_free (uncompressed);
       return false;
     }
@@ -568,13 +568,14 @@
   entry->configuration_bytes = uncompressed;
   entry->configuration_len = uncompressed_len;
   replace_routing (entry, configuration, hs_clock_monotonic ());
-  hs_follower_set_version (entry->node->follower, configuration->version);
+  hs_follower_set_generation (entry->node->follower,
+                              hs_routing_generation (entry->routing));
   hs_counter_set (entry->metrics.configuration_version,
                   configuration->version);
   hs_log_write (entry->log, HS_LOG_INFO, "configuration-in-force",
                 "{s:I, s:I, s:i, s:i}", "version",
                 (json_int_t)configuration->version, "base",
-                (json_int_t)base_version, "routes",
+                version_of (base_generation), "routes",
                 (int)configuration->routes_len, "bytes", (int)len);
   return true;
 }
@@ -605,19 +606,18 @@
 
 /* Returns the uncompressed encoding of a configuration, and its length in
    bytes in UNCOMPRESSED_LEN.  BYTES hold the whole configuration, compressed,
-   if BASE_VERSION is 0, and otherwise a patch based on the version
-   BASE_VERSION.  Returns NULL and sets ERROR if BASE_VERSION is not in force
-   or BYTES are malformed.  */
+   if BASE_GENERATION is 0, and otherwise a patch based on the configuration of
+   BASE_GENERATION.  Returns NULL and sets ERROR if that is not in force or
+   BYTES are malformed.  */
 static uint8_t *
-decode_update (struct hs_segment_entry *entry, uint64_t base_version,
+decode_update (struct hs_segment_entry *entry, uint64_t base_generation,
                const uint8_t *bytes, size_t len, size_t *uncompressed_len,
                GError **error)
 {
-  if (base_version == 0)
+  if (base_generation == 0)
     return hs_bytes_uncompress (entry->node->datapath->decision_worker, bytes,
                                 len, uncompressed_len, error);
-  if (entry->routing != NULL
-      && hs_routing_version (entry->routing) == base_version)
+  if (hs_routing_generation (entry->routing) == base_generation)
     return hs_patch_apply (
         entry->node->datapath->decision_worker, entry->configuration_bytes,
         entry->configuration_len, bytes, len, uncompressed_len, error);
@@ -653,8 +653,8 @@
 
   if (entry->routing != NULL)
     {
-      message.load_query.configuration_version
-          = hs_routing_version (entry->routing);
+      message.load_query.configuration_generation
+          = hs_routing_generation (entry->routing);
       message.load_query.flow_idle_ms
           = hs_routing_flow_idle_ms (entry->routing);
     }
@@ -941,7 +941,8 @@
                   : decision->action == HS_FORWARD_DROP  ? "segment-dropped"
                                                          : "holder-asked",
                   "{s:s, s:s, s:I, s:s, s:i, s:I}", "caller", caller,
-                  "address", address, "version", routing_version (entry),
+                  "address", address, "version",
+                  version_of (hs_routing_generation (entry->routing)),
                   "reason", hs_reason_name (decision->reason), "agents",
                   (int)(decision->agents_len + decision->queried_agents),
                   "link_ms", (json_int_t)decision->uplink_wait_ms);
@@ -960,8 +961,8 @@
       entry->log, HS_LOG_INFO, event,
       "{s:s, s:s, s:s, s:I, s:s, s:i, s:i, s:i, s:I, s:I, s:I, s:I, s:b}",
       "reason", hs_reason_name (reason), "caller", caller, "address", address,
-      "version", routing_version (entry), "agent", agent_address, "busy",
-      (int)agent->report.requests_in_progress, "slots",
+      "version", version_of (hs_routing_generation (entry->routing)), "agent",
+      agent_address, "busy", (int)agent->report.requests_in_progress, "slots",
       (int)agent->report.slots, "placed_since", (int)agent->placed_flows,
       "wait_ms", (json_int_t)(hs_pool_agent_wait_us (agent) / 1000),
       "work_left_ms", (json_int_t)(agent->report.work_left_us / 1000),
@@ -970,12 +971,12 @@
       agent->is_same_zone);
 }
 
+/* Returns the version of the configuration of GENERATION for the log; -1 if
+   GENERATION is 0.  */
 static json_int_t
-routing_version (const struct hs_segment_entry *entry)
+version_of (uint64_t generation)
 {
-  return entry->routing != NULL
-             ? (json_int_t)hs_routing_version (entry->routing)
-             : 0;
+  return (json_int_t)generation - 1;
 }
 
 static void
--- a/src/segment/routing.c
+++ b/src/segment/routing.c
@@ -118,6 +118,12 @@
   return routing->version;
 }
 
+uint64_t
+hs_routing_generation (const struct hs_routing *routing)
+{
+  return routing != NULL ? hs_configuration_generation (routing->version) : 0;
+}
+
 uint32_t
 hs_routing_flow_idle_ms (const struct hs_routing *routing)
 {
--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -155,12 +155,12 @@
 }
 
 void
-hs_sidecar_set_flow_idle (struct hs_sidecar *sidecar, uint64_t version,
+hs_sidecar_set_flow_idle (struct hs_sidecar *sidecar, uint64_t generation,
                           uint32_t flow_idle_ms)
 {
-  if (version < sidecar->flow_idle_version)
+  if (generation < sidecar->flow_idle_generation)
     return;
-  sidecar->flow_idle_version = version;
+  sidecar->flow_idle_generation = generation;
   sidecar->flow_idle_ms = flow_idle_ms;
 }
 
--- a/src/segment/sidecar_state.h
+++ b/src/segment/sidecar_state.h
@@ -58,12 +58,12 @@
   char service_name[HS_NAME_SIZE];
   uint64_t service_id;
   struct hs_addr upstream;
-  uint64_t heartbeat_ms;      /* Interval of the heartbeats.  */
-  uint64_t started_at;        /* Wall clock of the agent's start, ms.  */
-  uint64_t first_tick_at;     /* ms; 0: not yet.  */
-  uint64_t flow_lifetime_ms;  /* Longest lifetime of a flow.  */
-  uint64_t flow_idle_version; /* Version of the configuration that FLOW_IDLE_MS
-                                 is from; 0: none yet.  */
+  uint64_t heartbeat_ms;         /* Interval of the heartbeats.  */
+  uint64_t started_at;           /* Wall clock of the agent's start, ms.  */
+  uint64_t first_tick_at;        /* ms; 0: not yet.  */
+  uint64_t flow_lifetime_ms;     /* Longest lifetime of a flow.  */
+  uint64_t flow_idle_generation; /* Of the configuration that FLOW_IDLE_MS is
+                                    from; 0: none yet.  */
   uint32_t flow_idle_ms;
   struct hs_sidecar_ops ops;
   void *ctx;
--- a/src/tool/main.c
+++ b/src/tool/main.c
@@ -12,6 +12,8 @@
 
 /* Types.  */
 
+#define VERSION_TEXT_SIZE 24 /* Of a version as text, or "none".  */
+
 struct command
 {
   const char *name;
@@ -40,6 +42,8 @@
 static int run_cluster (const struct program_settings *settings,
                         const struct hs_args *args);
 static void print_cluster (const json_t *json);
+static const char *format_version (const json_t *object, const char *key,
+                                   char *text);
 static bool find_base_revision (struct hs_client *client,
                                 const struct program_settings *settings,
                                 const char *service, uint64_t *base_revision,
@@ -277,14 +281,15 @@
 static void
 print_cluster (const json_t *json)
 {
+  char version[VERSION_TEXT_SIZE];
   size_t i;
   json_t *item;
 
   printf (
-      "%s: term %lld, applied %lld, configuration %lld%s\n",
+      "%s: term %lld, applied %lld, configuration %s%s\n",
       hs_tool_string (json, "name"), (long long)hs_tool_integer (json, "term"),
       (long long)hs_tool_integer (json, "applied"),
-      (long long)hs_tool_integer (json, "version"),
+      format_version (json, "version", version),
       json_is_true (json_object_get (json, "disk_works")) ? ""
                                                           : ", disk unusable");
   json_array_foreach (json_object_get (json, "hosts"), i, item)
@@ -296,13 +301,26 @@
   }
   json_array_foreach (json_object_get (json, "nodes"), i, item)
   {
-    printf ("  %-7s %-24s %s, %s, configuration %lld\n",
+    printf ("  %-7s %-24s %s, %s, configuration %s\n",
             hs_tool_string (item, "role"), hs_tool_string (item, "address"),
             hs_tool_string (item, "name"), hs_tool_string (item, "zone"),
-            (long long)hs_tool_integer (item, "version_in_force"));
+            format_version (item, "version_in_force", version));
   }
 }
 
+/* Writes the version in the field KEY to TEXT, of VERSION_TEXT_SIZE bytes, and
+   returns TEXT.  The field is null where no configuration is in force.  */
+static const char *
+format_version (const json_t *object, const char *key, char *text)
+{
+  if (json_is_null (json_object_get (object, key)))
+    g_strlcpy (text, "none", VERSION_TEXT_SIZE);
+  else
+    g_snprintf (text, VERSION_TEXT_SIZE, "%lld",
+                (long long)hs_tool_integer (object, key));
+  return text;
+}
+
 /* Sets BASE_REVISION to the revision in the settings or, by default, to the
    revision in force, or to 0 if the control host returns no document, as for a
    service that does not exist.  */
--- a/src/wire/inner.c
+++ b/src/wire/inner.c
@@ -129,15 +129,15 @@
       pack_heartbeat (out, &inner->heartbeat);
       break;
     case HS_INNER_STATUS:
-      msgpack_pack_uint64 (out, inner->status.configuration_version);
+      msgpack_pack_uint64 (out, inner->status.configuration_generation);
       msgpack_pack_uint64 (out, inner->status.agents_digest);
       msgpack_pack_uint32 (out, inner->status.agents_total);
       pack_addrs (out, &inner->status.control_hosts);
       pack_addrs (out, &inner->status.agents);
       break;
     case HS_INNER_FETCH:
-      msgpack_pack_uint64 (out, inner->chunk.version);
-      msgpack_pack_uint64 (out, inner->chunk.base_version);
+      msgpack_pack_uint64 (out, inner->chunk.generation);
+      msgpack_pack_uint64 (out, inner->chunk.base_generation);
       msgpack_pack_uint32 (out, inner->chunk.offset);
       break;
     case HS_INNER_CHUNK:
@@ -147,7 +147,7 @@
       pack_lookup_query (out, &inner->queried_segment);
       break;
     case HS_INNER_LOAD_QUERY:
-      msgpack_pack_uint64 (out, inner->load_query.configuration_version);
+      msgpack_pack_uint64 (out, inner->load_query.configuration_generation);
       msgpack_pack_uint32 (out, inner->load_query.flow_idle_ms);
       break;
     case HS_INNER_SYN_HELD:
@@ -194,7 +194,7 @@
   msgpack_pack_uint8 (out, (uint8_t)heartbeat->role);
   msgpack_pack_uint64 (out, heartbeat->node_id);
   msgpack_pack_uint64 (out, heartbeat->incarnation);
-  msgpack_pack_uint64 (out, heartbeat->configuration_version);
+  msgpack_pack_uint64 (out, heartbeat->configuration_generation);
   msgpack_pack_uint64 (out, heartbeat->evacuation_revision);
   msgpack_pack_uint8 (out, heartbeat->wants_agents);
   hs_pack_addr (out, &heartbeat->address);
@@ -213,8 +213,8 @@
 static void
 pack_chunk (msgpack_packer *out, const struct hs_inner_chunk *chunk)
 {
-  msgpack_pack_uint64 (out, chunk->version);
-  msgpack_pack_uint64 (out, chunk->base_version);
+  msgpack_pack_uint64 (out, chunk->generation);
+  msgpack_pack_uint64 (out, chunk->base_generation);
   msgpack_pack_uint32 (out, chunk->total_len);
   msgpack_pack_uint32 (out, chunk->offset);
   msgpack_pack_bin (out, chunk->len);
@@ -276,15 +276,15 @@
       unpack_heartbeat (in, &inner->heartbeat);
       break;
     case HS_INNER_STATUS:
-      inner->status.configuration_version = hs_unpack_uint (in, UINT64_MAX);
+      inner->status.configuration_generation = hs_unpack_uint (in, UINT64_MAX);
       inner->status.agents_digest = hs_unpack_uint (in, UINT64_MAX);
       inner->status.agents_total = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
       unpack_addrs (in, &inner->status.control_hosts);
       unpack_addrs (in, &inner->status.agents);
       break;
     case HS_INNER_FETCH:
-      inner->chunk.version = hs_unpack_uint (in, UINT64_MAX);
-      inner->chunk.base_version = hs_unpack_uint (in, UINT64_MAX);
+      inner->chunk.generation = hs_unpack_uint (in, UINT64_MAX);
+      inner->chunk.base_generation = hs_unpack_uint (in, UINT64_MAX);
       inner->chunk.offset = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
       break;
     case HS_INNER_CHUNK:
@@ -294,7 +294,7 @@
       unpack_lookup_query (in, &inner->queried_segment);
       break;
     case HS_INNER_LOAD_QUERY:
-      inner->load_query.configuration_version
+      inner->load_query.configuration_generation
           = hs_unpack_uint (in, UINT64_MAX);
       inner->load_query.flow_idle_ms
           = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
@@ -348,7 +348,7 @@
   heartbeat->role = (enum hs_role)hs_unpack_uint (in, HS_ROLE_ENTRY);
   heartbeat->node_id = hs_unpack_uint (in, UINT64_MAX);
   heartbeat->incarnation = hs_unpack_uint (in, UINT64_MAX);
-  heartbeat->configuration_version = hs_unpack_uint (in, UINT64_MAX);
+  heartbeat->configuration_generation = hs_unpack_uint (in, UINT64_MAX);
   heartbeat->evacuation_revision = hs_unpack_uint (in, UINT64_MAX);
   heartbeat->wants_agents = hs_unpack_uint (in, 1) != 0;
   hs_unpack_addr (in, &heartbeat->address);
@@ -372,8 +372,8 @@
 static void
 unpack_chunk (struct hs_unpacker *in, struct hs_inner_chunk *chunk)
 {
-  chunk->version = hs_unpack_uint (in, UINT64_MAX);
-  chunk->base_version = hs_unpack_uint (in, UINT64_MAX);
+  chunk->generation = hs_unpack_uint (in, UINT64_MAX);
+  chunk->base_generation = hs_unpack_uint (in, UINT64_MAX);
   chunk->total_len = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
   chunk->offset = (uint32_t)hs_unpack_uint (in, UINT32_MAX);
   chunk->len
--- a/src/wire/inner.h
+++ b/src/wire/inner.h
@@ -1,6 +1,9 @@
 /* inner.h -- the inner protocol: small messages between entries, agents and
    control hosts, one per datagram.
 
+   Configurations are named by their generation (hs_configuration_generation),
+   so that 0 stands for none in every message.
+
    Each is a MessagePack array whose first element is the type.  The bytes of
    a caller's segment, unchanged, follow a FORWARD and a REFUSED_SYN.  */
 
@@ -70,9 +73,9 @@
   enum hs_role role;
   uint64_t node_id; /* hs_id_from_name of the name.  */
   uint64_t incarnation;
-  uint64_t configuration_version; /* In force at the sender.  */
-  uint64_t evacuation_revision;   /* On which the sender acts.  */
-  bool wants_agents;              /* Entry: requests the list of agents.  */
+  uint64_t configuration_generation; /* In force at the sender; 0: none.  */
+  uint64_t evacuation_revision;      /* On which the sender acts.  */
+  bool wants_agents;                 /* Entry: requests the list of agents.  */
   struct hs_addr address;
   char name[HS_NAME_SIZE];
   char zone[HS_NAME_SIZE];
@@ -86,8 +89,8 @@
 
 struct hs_inner_status
 {
-  uint64_t configuration_version; /* The newest; 0: none known.  */
-  uint64_t agents_digest;         /* XOR of hs_addr_hash of all agents.  */
+  uint64_t configuration_generation; /* The newest; 0: none known.  */
+  uint64_t agents_digest;            /* XOR of hs_addr_hash of all agents.  */
   uint32_t agents_total; /* Length of the whole list, which may take several
                             messages; 0: AGENTS are new, and not the list.  */
   struct hs_inner_addrs control_hosts;
@@ -97,20 +100,20 @@
 /* Agents fetch no configuration: they learn the idle timeout from queries.  */
 struct hs_inner_load_query
 {
-  uint64_t configuration_version; /* In force at the entry; 0: none yet.  */
-  uint32_t flow_idle_ms;          /* As in struct hs_configuration.  */
+  uint64_t configuration_generation; /* In force at the entry; 0: none yet.  */
+  uint32_t flow_idle_ms;             /* As in struct hs_configuration.  */
 };
 
 struct hs_inner_chunk
 {
-  uint64_t version;      /* Version of the configuration.  */
-  uint64_t base_version; /* FETCH: version that the entry has; 0: it needs the
-                            whole configuration.  CHUNK: version that the patch
-                            applies to; 0: the bytes are the whole
-                            configuration, not a patch.  */
-  uint32_t total_len;    /* Length of all chunks, bytes; 0: VERSION is not
-                            available.  */
-  uint32_t offset;       /* Offset of the chunk, bytes.  */
+  uint64_t generation;      /* Of the configuration.  */
+  uint64_t base_generation; /* FETCH: what the entry has; 0: it needs the whole
+                               configuration.  CHUNK: what the patch applies
+                               to; 0: the bytes are the whole configuration,
+                               not a patch.  */
+  uint32_t total_len;       /* Length of all chunks, bytes; 0: GENERATION is
+                               not available.  */
+  uint32_t offset;          /* Offset of the chunk, bytes.  */
   uint32_t len;
   uint8_t bytes[HS_INNER_CHUNK_SIZE_MAX];
 };
@@ -129,8 +132,8 @@
     struct hs_inner_heartbeat heartbeat;
     struct hs_inner_status status;
     struct hs_evacuations evacuations;
-    struct hs_inner_chunk chunk; /* CHUNK; FETCH sends version, base_version
-                                    and offset.  */
+    struct hs_inner_chunk chunk; /* CHUNK; FETCH sends generation,
+                                    base_generation and offset.  */
   };
 };
 
--- a/tests/e2e/segment_lib.sh
+++ b/tests/e2e/segment_lib.sh
@@ -114,9 +114,8 @@
   for n in "$@"; do kill -0 "${PIDS[$n]}"; done
 }
 
-# start_segment_system -- starts the whole system and waits until configuration
-# 5 is in force.
-start_segment_system () {
+# start_segment_processes -- starts the whole system, without a configuration.
+start_segment_processes () {
   local n
   for n in 1 2 3; do start_control_member $n 1; done
   for n in 1 2 3; do
@@ -128,6 +127,12 @@
   done
   for n in 1 2; do start_segment_entry $n; done
   start heartbeats send_heartbeats
+}
+
+# start_segment_system -- starts the whole system and waits until configuration
+# 5 is in force.
+start_segment_system () {
+  start_segment_processes
   print_configuration 5 >"$WORK/c5.json"
   wait_for 10 tool replace "$WORK/c5.json" >/dev/null
   wait_for 10 entries_ready
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -419,11 +419,11 @@
 }
 
 static bool
-ignore_configuration (void *ctx, uint64_t base_version, const uint8_t *bytes,
-                      size_t len)
+ignore_configuration (void *ctx, uint64_t base_generation,
+                      const uint8_t *bytes, size_t len)
 {
   (void)ctx;
-  (void)base_version;
+  (void)base_generation;
   (void)bytes;
   (void)len;
   return true;
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -30,7 +30,7 @@
   unsigned int lost;          /* Times that the control group was lost.  */
   unsigned int regained;      /* Times that it was regained.  */
   bool rejects_configuration; /* apply_configuration fails.  */
-  uint64_t configuration_base_version;
+  uint64_t configuration_base_generation;
   size_t configuration_len;
   uint8_t configuration[8192];
 };
@@ -54,14 +54,14 @@
 }
 
 static bool
-on_apply_configuration (void *ctx, uint64_t base_version, const uint8_t *bytes,
-                        size_t len)
+on_apply_configuration (void *ctx, uint64_t base_generation,
+                        const uint8_t *bytes, size_t len)
 {
   struct node *node = ctx;
 
   memcpy (node->configuration, bytes, len);
   node->configuration_len = len;
-  node->configuration_base_version = base_version;
+  node->configuration_base_generation = base_generation;
   return !node->rejects_configuration;
 }
 
@@ -118,7 +118,7 @@
   struct hs_inner inner = { .type = HS_INNER_STATUS };
   struct hs_addr address = host_addr (from);
 
-  inner.status.configuration_version = version;
+  inner.status.configuration_generation = version;
   inner.status.agents_total = (uint32_t)agents;
   inner.status.agents.len = agents;
   for (uint32_t i = 0; i < agents; i++)
@@ -140,7 +140,7 @@
   struct hs_inner inner = { .type = HS_INNER_CHUNK };
   struct hs_addr address = host_addr (from);
 
-  inner.chunk.version = version;
+  inner.chunk.generation = version;
   inner.chunk.total_len = total;
   inner.chunk.offset = offset;
   inner.chunk.len = total - offset < HS_INNER_CHUNK_SIZE_MAX
@@ -199,7 +199,7 @@
   inner.status.control_hosts.len = 15;
   for (uint32_t i = 0; i < 15; i++)
     inner.status.control_hosts.values[i] = host_addr (1 + i);
-  hs_follower_set_version (node->follower, 1);
+  hs_follower_set_generation (node->follower, 1);
   hs_follower_receive (node->follower, &from, &inner, 0);
   for (uint64_t now = 600; now < 2100; now += 100)
     hs_follower_tick (node->follower, now);
@@ -232,7 +232,7 @@
   g_assert_cmpuint (node->configuration[1100], ==, 2);
   g_assert_cmpuint (node->configuration[2499], ==, 3);
   /* Neither an older version nor the one in force is fetched.  */
-  hs_follower_set_version (node->follower, 9);
+  hs_follower_set_generation (node->follower, 9);
   node->sent_len = 0;
   receive_status (node, 1, 8, 0, 50);
   receive_status (node, 3, 9, 0, 50);
@@ -240,6 +240,30 @@
   talloc_free (node);
 }
 
+/* Guards against a configuration of version 0 that no entry fetches, since 0
+   stands for none: its generation is newer than no configuration, and patches
+   can be based on it.  */
+static void
+test_version_zero_fetched (void)
+{
+  struct node *node = node_create (HS_ROLE_ENTRY);
+  uint64_t generation = hs_configuration_generation (0);
+
+  receive_status (node, 2, 0, 0, 10);
+  g_assert_cmpuint (count_sent_of_type (node, HS_INNER_FETCH), ==, 0);
+  receive_status (node, 2, generation, 0, 20);
+  g_assert_cmpuint (count_sent_of_type (node, HS_INNER_FETCH), ==, 1);
+  receive_chunk (node, 2, generation, 0, 1000, 30);
+  g_assert_cmpuint (node->configuration_len, ==, 1000);
+  hs_follower_set_generation (node->follower, generation);
+  node->sent_len = 0;
+  receive_status (node, 3, generation, 0, 40);
+  g_assert_cmpuint (node->sent_len, ==, 0);
+  receive_status (node, 3, hs_configuration_generation (1), 0, 50);
+  g_assert_cmpuint (node->sent[0].inner.chunk.base_generation, ==, generation);
+  talloc_free (node);
+}
+
 /* A node with a version in force requests only a patch for it, and the whole
    configuration if the patch could not be applied.  */
 static void
@@ -249,25 +273,25 @@
   struct hs_inner inner = { .type = HS_INNER_CHUNK };
   struct hs_addr from = host_addr (2);
 
-  hs_follower_set_version (node->follower, 7);
+  hs_follower_set_generation (node->follower, 7);
   receive_status (node, 2, 9, 0, 10);
-  g_assert_cmpuint (node->sent[0].inner.chunk.base_version, ==, 7);
-  inner.chunk.version = 9;
-  inner.chunk.base_version = 7;
+  g_assert_cmpuint (node->sent[0].inner.chunk.base_generation, ==, 7);
+  inner.chunk.generation = 9;
+  inner.chunk.base_generation = 7;
   inner.chunk.total_len = inner.chunk.len = 100;
   node->rejects_configuration = true;
   hs_follower_receive (node->follower, &from, &inner, 20);
-  g_assert_cmpuint (node->configuration_base_version, ==, 7);
+  g_assert_cmpuint (node->configuration_base_generation, ==, 7);
   node->sent_len = 0;
   receive_status (node, 2, 9, 0, 30);
-  g_assert_cmpuint (node->sent[0].inner.chunk.base_version, ==, 0);
+  g_assert_cmpuint (node->sent[0].inner.chunk.base_generation, ==, 0);
   node->rejects_configuration = false;
   receive_chunk (node, 2, 9, 0, 1000, 40);
-  g_assert_cmpuint (node->configuration_base_version, ==, 0);
-  hs_follower_set_version (node->follower, 9);
+  g_assert_cmpuint (node->configuration_base_generation, ==, 0);
+  hs_follower_set_generation (node->follower, 9);
   node->sent_len = 0;
   receive_status (node, 2, 10, 0, 50);
-  g_assert_cmpuint (node->sent[0].inner.chunk.base_version, ==, 9);
+  g_assert_cmpuint (node->sent[0].inner.chunk.base_generation, ==, 9);
   talloc_free (node);
 }
 
@@ -280,10 +304,10 @@
   struct hs_inner inner = { .type = HS_INNER_CHUNK };
   struct hs_addr from = host_addr (2);
 
-  hs_follower_set_version (node->follower, 7);
+  hs_follower_set_generation (node->follower, 7);
   receive_status (node, 2, 9, 0, 10);
-  inner.chunk.version = 9;
-  inner.chunk.base_version = 7;
+  inner.chunk.generation = 9;
+  inner.chunk.base_generation = 7;
   inner.chunk.total_len = 2500;
   inner.chunk.len = HS_INNER_CHUNK_SIZE_MAX;
   hs_follower_receive (node->follower, &from, &inner, 20);
@@ -294,7 +318,7 @@
   receive_chunk (node, 2, 9, 1100, 2500, 50);
   receive_chunk (node, 2, 9, 2200, 2500, 50);
   g_assert_cmpuint (node->configuration_len, ==, 2500);
-  g_assert_cmpuint (node->configuration_base_version, ==, 0);
+  g_assert_cmpuint (node->configuration_base_generation, ==, 0);
   talloc_free (node);
 }
 
@@ -384,7 +408,7 @@
 
   receive_status (node, 2, 9, 0, 10);
   receive_chunk (node, 2, 9, 0, 2500, 20);
-  inner.chunk.version = 9;
+  inner.chunk.generation = 9;
   inner.chunk.total_len = 2500;
   inner.chunk.len = HS_INNER_CHUNK_SIZE_MAX;
   inner.chunk.offset
@@ -495,7 +519,7 @@
 
       hs_node_table_update (nodes, &heartbeat, 0);
     }
-  hs_follower_set_version (node->follower, 1);
+  hs_follower_set_generation (node->follower, 1);
   requests = count_list_requests (node, 1);
   g_assert_cmpuint (requests, >, 0);
   receive_agent_list (node, nodes, 2, 10);
@@ -523,12 +547,12 @@
   struct hs_addr from = host_addr (1);
   unsigned int requests = 0;
 
-  hs_follower_set_version (node->follower, 1);
+  hs_follower_set_generation (node->follower, 1);
   hs_follower_tick (node->follower, 1);
   receive_status (node, 1, 1, 3, 10);
   for (uint64_t now = 500; now < 7000; now += 500)
     requests += count_list_requests (node, now);
-  inner.status.configuration_version = 1;
+  inner.status.configuration_generation = 1;
   inner.status.agents.len = 1;
   inner.status.agents.values[0] = host_addr (200);
   hs_follower_receive (node->follower, &from, &inner, 7000);
@@ -598,6 +622,7 @@
   g_test_add_func ("/follower/host-stops", test_host_stops_while_fetching);
   g_test_add_func ("/follower/unfitting-chunks",
                    test_unfitting_chunks_ignored);
+  g_test_add_func ("/follower/version-zero", test_version_zero_fetched);
   g_test_add_func ("/follower/newer-version",
                    test_newer_version_while_fetching);
   g_test_add_func ("/follower/short-lists", test_agents_survive_short_lists);
--- a/tests/test_inner.c
+++ b/tests/test_inner.c
@@ -95,14 +95,14 @@
           = (struct hs_inner_heartbeat){ .role = HS_ROLE_ENTRY,
                                          .node_id = 1,
                                          .incarnation = 2,
-                                         .configuration_version = 3,
+                                         .configuration_generation = 3,
                                          .wants_agents = true,
                                          .address = sample_addr (5),
                                          .name = "entry-1",
                                          .zone = "sic-ragusa" };
       break;
     case HS_INNER_STATUS:
-      inner.status.configuration_version = 5;
+      inner.status.configuration_generation = 5;
       inner.status.agents_digest = 6;
       inner.status.agents_total = 90;
       inner.status.control_hosts.len = 2;
@@ -112,20 +112,20 @@
       inner.status.agents.values[0] = sample_addr (3);
       break;
     case HS_INNER_FETCH:
-      inner.chunk.version = 7;
-      inner.chunk.base_version = 6;
+      inner.chunk.generation = 7;
+      inner.chunk.base_generation = 6;
       inner.chunk.offset = 2200;
       break;
     case HS_INNER_CHUNK:
-      inner.chunk.version = 7;
-      inner.chunk.base_version = 6;
+      inner.chunk.generation = 7;
+      inner.chunk.base_generation = 6;
       inner.chunk.total_len = 4000;
       inner.chunk.offset = 1100;
       inner.chunk.len = 3;
       memcpy (inner.chunk.bytes, "abc", 3);
       break;
     case HS_INNER_LOAD_QUERY:
-      inner.load_query.configuration_version = 7;
+      inner.load_query.configuration_generation = 7;
       inner.load_query.flow_idle_ms = 15000;
       break;
     case HS_INNER_NONE:
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -725,6 +725,38 @@
     }
 }
 
+/* Returns a routing of json_configuration with TEXT replaced.  */
+static struct hs_routing *
+make_routing (void *root, const char *text, const char *replacement)
+{
+  const char *found = strstr (json_configuration, text);
+  g_autofree char *json = g_strdup_printf (
+      "%.*s%s%s", (int)(found - json_configuration), json_configuration,
+      replacement, found + strlen (text));
+  struct hs_configuration *configuration = hs_platform_decode_configuration (
+      NULL, root, json, strlen (json), NULL);
+
+  g_assert_nonnull (configuration);
+  return hs_routing_create (root, configuration);
+}
+
+/* Guards against a configuration of version 0 that is taken for none.  */
+static void
+test_version_zero_is_a_version (void)
+{
+  void *root = talloc_new (NULL);
+  struct hs_routing *routing = make_routing (root, ":7,", ":0,");
+
+  g_assert_cmpuint (hs_routing_version (routing), ==, 0);
+  g_assert_cmpuint (hs_routing_generation (NULL), ==, 0);
+  g_assert_cmpuint (hs_routing_generation (routing), >, 0);
+  g_assert_cmpuint (hs_routing_generation (routing), <,
+                    hs_configuration_generation (1));
+  g_assert_cmpuint (hs_configuration_generation (INT64_MAX - 1), <,
+                    hs_configuration_generation (INT64_MAX));
+  talloc_free (root);
+}
+
 static void
 test_routes_picked_by_weight (void)
 {
@@ -888,21 +920,6 @@
   talloc_free (entry.root);
 }
 
-/* Returns a routing of json_configuration with TEXT replaced.  */
-static struct hs_routing *
-make_routing (void *root, const char *text, const char *replacement)
-{
-  const char *found = strstr (json_configuration, text);
-  g_autofree char *json = g_strdup_printf (
-      "%.*s%s%s", (int)(found - json_configuration), json_configuration,
-      replacement, found + strlen (text));
-  struct hs_configuration *configuration = hs_platform_decode_configuration (
-      NULL, root, json, strlen (json), NULL);
-
-  g_assert_nonnull (configuration);
-  return hs_routing_create (root, configuration);
-}
-
 /* Guards against an idle timeout of the configuration that has no effect: the
    entry keeps a flow for the timeout in force, changed while the flow is open,
    but not for longer than a flow lives.  */
@@ -2468,6 +2485,7 @@
   g_test_add_func ("/segment/all-started-since", test_all_started_since);
   g_test_add_func ("/segment/late-report", test_late_report_ignored);
   g_test_add_func ("/segment/flow-stays", test_flow_stays_at_agent);
+  g_test_add_func ("/segment/version-zero", test_version_zero_is_a_version);
   g_test_add_func ("/segment/entry-idle-timeout",
                    test_entry_follows_idle_timeout);
   g_test_add_func ("/segment/agent-idle-timeout",
