Keep a silent flow at its agent until its lifetime has passed

The cause is inferred from the code and shown without a network.

Cause: the agent that owns a flow removed it by the idle timeout that it had heard last, and answered "not owned" from then on, on which the entry resets the caller. What it has heard may be older and shorter than what is in force: a load query is lost or late (a round over 13,000 agents takes 27 s after a change), the entries that ask are behind, or the agent was started again and hears of the older configuration first.

Change: after the idle timeout a flow is dormant. It no longer counts as load, as before, but its next segment is delivered; an upstream that does not hold it any more gives the segment back. Flows leave the table when they are closed or after their longest lifetime. This works whatever the agent has heard, since the lifetime is a setting. Entries forget by their own timeout as before: they ask for the owner.

Metrics: flow_idle_ms and dormant_flows of agents tell what an agent acts on.

Tests: on the commit before, stale-idle-timeout fails (lookup: not owned), stale-idle-timeout-restart fails (unknown in place of owned), and stale-idle-timeout-entry fails (one reset of the caller). The last check of agent-idle-timeout asked that the agent deny a flow after the timeout; that is the fault. In its place it checks that the flow no longer counts as load, is served, counts again then, and is gone after its lifetime.

Related paths read: directory entries and flow recovery last for the lifetime and 15 s and do not depend on the timeout; a full table removes the flow that has been silent longest, as before.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -1217,9 +1217,9 @@
    says otherwise.  */
 #define HS_FLOW_LIFETIME_DEFAULT_MS 60000
 
-/* Returns the silence in ms after which a host removes a flow.  FLOW_IDLE_MS
-   is that of the configuration, 0 for none; LIFETIME_MS is the longest
-   lifetime of a flow, which bounds the number of flows that are kept.  */
+/* Returns the silence in ms after which a flow is over by the idle timeout
+   FLOW_IDLE_MS, 0 for none, or by LIFETIME_MS, the longest lifetime of a
+   flow.  */
 uint64_t hs_flow_expiry_ms (uint32_t flow_idle_ms, uint64_t lifetime_ms);
 
 /* Returns the rule of the route to ADDRESS, which is owned by ROUTING, or NULL
@@ -1276,7 +1276,7 @@
   uint32_t slots; /* Requests that the upstream runs at once; 0: not known.  */
   uint32_t requests_in_progress; /* Requests at the upstream, queued ones
                                     included.  */
-  uint32_t open_flows;
+  uint32_t open_flows;           /* Without dormant ones.  */
   uint32_t cold_ms; /* Time left until the upstream is warm; 0: it is warm.  */
   uint32_t mean_work_us; /* Mean time of a request in a slot; 0: not known.  */
   uint32_t work_left_us; /* Expected time in slots that the requests in
@@ -1995,12 +1995,17 @@
 void hs_sidecar_set_flow_lifetime (struct hs_sidecar *sidecar,
                                    uint64_t lifetime_ms);
 
-/* FLOW_IDLE_MS is that of the configuration of GENERATION.  Earlier
-   generations than that of the previous call are ignored.  Before the first
-   call, flows are kept for their longest lifetime.  */
+/* FLOW_IDLE_MS is that of the configuration of GENERATION; 0: no limit.
+   Earlier generations than that of the previous call are ignored.  A flow that
+   is silent for longer becomes dormant: it is not counted as load, and stays
+   open until its longest lifetime has passed.  */
 void hs_sidecar_set_flow_idle (struct hs_sidecar *sidecar, uint64_t generation,
                                uint32_t flow_idle_ms);
 
+/* Returns the idle timeout in force here; 0: none, or not known yet.  */
+uint32_t hs_sidecar_flow_idle_ms (const struct hs_sidecar *sidecar);
+uint32_t hs_sidecar_dormant_flows (const struct hs_sidecar *sidecar);
+
 /* Returns false and sets HS_ERROR_INVALID if HEARTBEAT has another service or
    address than this upstream, or a state other than ready and draining.  One
    that is not newer than the latest is ignored, and true is returned.  */
@@ -2053,7 +2058,8 @@
                                     const struct hs_segment *segment,
                                     uint64_t now);
 
-/* Removes idle flows and applies the timeouts of the upstream.  */
+/* Removes flows that have outlived their lifetime, and applies the idle
+   timeout and the timeouts of the upstream.  */
 void hs_sidecar_tick (struct hs_sidecar *sidecar, uint64_t now);
 
 /* Returns whether new flows are accepted if there is room.  */
--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -56,6 +56,8 @@
   struct hs_counter *heartbeats_refused;
   struct hs_counter *requests_in_progress;
   struct hs_counter *open_flows;
+  struct hs_counter *dormant_flows;
+  struct hs_counter *flow_idle_ms;
   struct hs_counter *state;
   struct hs_counter *evacuated;
   struct hs_counter *cold;
@@ -244,6 +246,13 @@
       set, "requests_in_progress", "Requests in progress at the upstream.");
   metrics->open_flows
       = hs_gauge_create (set, "flows", "Open flows of the upstream.");
+  metrics->dormant_flows = hs_gauge_create (
+      set, "dormant_flows",
+      "Flows that are open and have been silent for the idle timeout; not "
+      "among flows.");
+  metrics->flow_idle_ms = hs_gauge_create (
+      set, "flow_idle_ms",
+      "Idle timeout of flows in force, ms; 0: none, or not known yet.");
   metrics->state = hs_gauge_create (
       set, "state", "State: 0 ready, 1 draining, 2 upstream silent.");
   metrics->evacuated = hs_gauge_create (
@@ -588,6 +597,10 @@
   hs_counter_set (agent->metrics.requests_in_progress,
                   load.requests_in_progress);
   hs_counter_set (agent->metrics.open_flows, load.open_flows);
+  hs_counter_set (agent->metrics.dormant_flows,
+                  hs_sidecar_dormant_flows (agent->sidecar));
+  hs_counter_set (agent->metrics.flow_idle_ms,
+                  hs_sidecar_flow_idle_ms (agent->sidecar));
   hs_counter_set (agent->metrics.held_syns,
                   hs_held_syns_len (agent->held_syns));
   hs_counter_set (agent->metrics.state, load.state);
--- a/src/segment/segment_flow_table.c
+++ b/src/segment/segment_flow_table.c
@@ -103,6 +103,23 @@
     hs_segment_flow_table_remove (table, longest_idle (table));
 }
 
+void
+hs_segment_flow_table_foreach_idle (struct hs_segment_flow_table *table,
+                                    uint64_t idle_ms, uint64_t now,
+                                    hs_segment_flow_callback *callback,
+                                    void *ctx)
+{
+  HS_LIST_FOREACH (link, &table->lru)
+    {
+      struct hs_segment_flow *flow
+          = HS_LIST_ENTRY (link, struct hs_segment_flow, lru_link);
+
+      if (now - flow->last_active_at <= idle_ms)
+        return;
+      callback (ctx, flow);
+    }
+}
+
 void
 hs_segment_flow_table_foreach (struct hs_segment_flow_table *table,
                                hs_segment_flow_callback *callback, void *ctx)
--- a/src/segment/segment_flow_table.h
+++ b/src/segment/segment_flow_table.h
@@ -52,6 +52,14 @@
 void hs_segment_flow_table_expire (struct hs_segment_flow_table *table,
                                    uint64_t idle_ms, uint64_t now);
 
+/* Calls CALLBACK for each flow that has been idle for longer than IDLE_MS, the
+   one that has been idle longest first.  CALLBACK must not remove or touch
+   flows.  */
+void hs_segment_flow_table_foreach_idle (struct hs_segment_flow_table *table,
+                                         uint64_t idle_ms, uint64_t now,
+                                         hs_segment_flow_callback *callback,
+                                         void *ctx);
+
 /* Calls CALLBACK for each flow, the one that has been idle longest first.
    CALLBACK must not remove flows.  */
 void hs_segment_flow_table_foreach (struct hs_segment_flow_table *table,
--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -8,6 +8,12 @@
    agent delivers segments of flows that it does not know and records a flow
    when the upstream answers.
 
+   An agent learns the idle timeout from entries, and may learn it late or from
+   an entry with an older configuration.  A flow that is silent for longer is
+   therefore dormant, not removed: it no longer counts as load, and its next
+   segment is still delivered.  Flows are removed after their longest lifetime,
+   which no configuration changes.
+
    A request is in progress from the first payload of the caller until the
    first payload of the upstream; the payload itself is not parsed.  */
 
@@ -100,6 +106,11 @@
                                     uint64_t now);
 static void set_flow_open (struct hs_sidecar *sidecar,
                            struct hs_sidecar_flow *flow, bool open);
+static void set_flow_dormant (struct hs_sidecar *sidecar,
+                              struct hs_sidecar_flow *flow, bool dormant);
+static void mark_dormant (void *ctx, struct hs_segment_flow *base);
+static void touch_flow (struct hs_sidecar *sidecar,
+                        struct hs_sidecar_flow *flow, uint64_t now);
 static bool acks_other_handshake (const struct hs_sidecar_flow *flow,
                                   const struct hs_segment *segment);
 static void track_close (struct hs_sidecar *sidecar,
@@ -164,6 +175,18 @@
   sidecar->flow_idle_ms = flow_idle_ms;
 }
 
+uint32_t
+hs_sidecar_flow_idle_ms (const struct hs_sidecar *sidecar)
+{
+  return sidecar->flow_idle_ms;
+}
+
+uint32_t
+hs_sidecar_dormant_flows (const struct hs_sidecar *sidecar)
+{
+  return sidecar->dormant_flows;
+}
+
 bool
 hs_sidecar_handle_heartbeat (struct hs_sidecar *sidecar,
                              const struct hs_heartbeat *heartbeat,
@@ -249,7 +272,7 @@
   if ((flow->state == FLOW_PROBING || flow->state == FLOW_PRESUMED_CLOSED)
       && sidecar->recovery_until == 0 && owner_only)
     return answer_not_owned (entry);
-  hs_segment_flow_table_touch (sidecar->flows, &flow->base, now);
+  touch_flow (sidecar, flow, now);
   return handle_known_flow (sidecar, flow, segment, entry, owner_only, now);
 }
 
@@ -341,9 +364,11 @@
              > FIRST_HEARTBEAT_INTERVALS * sidecar->heartbeat_ms)
     sidecar->recovery_until = 0;
   hs_segment_flow_table_expire (
+      sidecar->flows, hs_flow_expiry_ms (0, sidecar->flow_lifetime_ms), now);
+  hs_segment_flow_table_foreach_idle (
       sidecar->flows,
       hs_flow_expiry_ms (sidecar->flow_idle_ms, sidecar->flow_lifetime_ms),
-      now);
+      now, mark_dormant, sidecar);
   hs_sidecar_expire_requests (sidecar, now);
   hs_sidecar_raise_capacity (sidecar, now);
   if (sidecar->recovery_until != 0 && now >= sidecar->recovery_until)
@@ -375,7 +400,7 @@
     report->state = HS_AGENT_DRAINING;
   report->slots = sidecar->last_heartbeat.slots;
   report->requests_in_progress = sidecar->requests_in_progress;
-  report->open_flows = sidecar->open_flows;
+  report->open_flows = sidecar->open_flows - sidecar->dormant_flows;
   report->cold_ms = hs_sidecar_cold_ms (sidecar, now);
   report->cold_room
       = report->cold_ms > 0
@@ -598,7 +623,7 @@
   flow->owes_lookup_answer = false;
   hs_sidecar_set_request_active (sidecar, flow, false);
   set_flow_open (sidecar, flow, false);
-  hs_segment_flow_table_touch (sidecar->flows, &flow->base, now);
+  touch_flow (sidecar, flow, now);
   flow->state = FLOW_NOT_OWNED;
   return decision;
 }
@@ -760,10 +785,38 @@
 {
   if (flow->is_open == open)
     return;
+  set_flow_dormant (sidecar, flow, false);
   flow->is_open = open;
   sidecar->open_flows += open ? 1 : (uint32_t)-1;
 }
 
+static void
+set_flow_dormant (struct hs_sidecar *sidecar, struct hs_sidecar_flow *flow,
+                  bool dormant)
+{
+  if (flow->is_dormant == dormant)
+    return;
+  flow->is_dormant = dormant;
+  sidecar->dormant_flows += dormant ? 1 : (uint32_t)-1;
+}
+
+static void
+mark_dormant (void *ctx, struct hs_segment_flow *base)
+{
+  struct hs_sidecar_flow *flow = (struct hs_sidecar_flow *)base;
+
+  if (flow->is_open)
+    set_flow_dormant (ctx, flow, true);
+}
+
+static void
+touch_flow (struct hs_sidecar *sidecar, struct hs_sidecar_flow *flow,
+            uint64_t now)
+{
+  hs_segment_flow_table_touch (sidecar->flows, &flow->base, now);
+  set_flow_dormant (sidecar, flow, false);
+}
+
 static void
 on_flow_removed (void *ctx, struct hs_segment_flow *base)
 {
@@ -788,6 +841,6 @@
 
   if (flow == NULL)
     return hs_segment_flow_table_add (sidecar->flows, key, now);
-  hs_segment_flow_table_touch (sidecar->flows, &flow->base, now);
+  touch_flow (sidecar, flow, now);
   return flow;
 }
--- a/src/segment/sidecar_state.h
+++ b/src/segment/sidecar_state.h
@@ -46,6 +46,8 @@
   struct hs_list wait_link;    /* In waiting_requests, if REQUEST_ACTIVE and
                                   not HAS_SLOT.  */
   bool is_open;                /* Counted in open_flows of the sidecar.  */
+  bool is_dormant;             /* Open, and silent for longer than the idle
+                                  timeout; counted in dormant_flows.  */
   struct hs_list pending_link; /* In pending_syns of the sidecar.  */
   bool is_pending;             /* PENDING_LINK is in that list.  */
   uint64_t syn_at;             /* ms, if IS_PENDING.  */
@@ -105,7 +107,8 @@
                         0: not known.  */
   uint64_t capacity_changed_at; /* ms  */
   uint32_t open_flows;
-  uint32_t mean_work_us; /* Mean time that a request occupies a slot.  */
+  uint32_t dormant_flows; /* Of OPEN_FLOWS.  */
+  uint32_t mean_work_us;  /* Mean time that a request occupies a slot.  */
   struct hs_cost_model *costs;
 };
 
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -955,8 +955,19 @@
     }
 }
 
+static uint32_t
+reported_flows (const struct hs_sidecar *sidecar, uint64_t now)
+{
+  struct hs_load_report report = { 0 };
+
+  hs_sidecar_fill_load_report (sidecar, &report, now);
+  return report.open_flows;
+}
+
 /* The same for an agent, which is told the timeout by the entries.  An entry
-   that has not seen the newest configuration yet changes nothing.  */
+   that has not seen the newest configuration yet changes nothing.  A flow that
+   is silent for the timeout no longer counts as load, but the agent does not
+   deny it: its next segment is delivered, and it counts again.  */
 static void
 test_agent_follows_idle_timeout (void)
 {
@@ -982,13 +993,166 @@
   hs_sidecar_tick (sidecar, 59000 + 45000);
   g_assert_cmpint (hs_sidecar_lookup (sidecar, &data, 59000 + 45000), ==,
                    HS_LOOKUP_OWNED);
+  g_assert_cmpuint (reported_flows (sidecar, 59000 + 45000), ==, 1);
   hs_sidecar_set_flow_idle (sidecar, 8, 15000);
   hs_sidecar_tick (sidecar, 59000 + 45000);
+  g_assert_cmpuint (reported_flows (sidecar, 59000 + 45000), ==, 0);
+  g_assert_cmpuint (hs_sidecar_dormant_flows (sidecar), ==, 1);
   g_assert_cmpint (hs_sidecar_lookup (sidecar, &data, 59000 + 45000), ==,
+                   HS_LOOKUP_OWNED);
+  g_assert_cmpint (send_from_entry (sidecar, &data, false, 104000).action, ==,
+                   HS_SIDECAR_TO_UPSTREAM);
+  g_assert_cmpuint (reported_flows (sidecar, 104000), ==, 1);
+  /* The lifetime of a flow bounds the number that are kept.  */
+  hs_sidecar_tick (sidecar, 104000 + 63000);
+  g_assert_cmpint (hs_sidecar_lookup (sidecar, &data, 104000 + 63000), ==,
                    HS_LOOKUP_NOT_OWNED);
+  g_assert_cmpuint (hs_sidecar_dormant_flows (sidecar), ==, 0);
   talloc_free (root);
 }
 
+/* What an agent hears of the idle timeout while a flow is silent.  */
+struct idle_news
+{
+  uint64_t at; /* ms after the flow's last segment.  */
+  uint64_t generation;
+  uint32_t flow_idle_ms;
+};
+
+/* Opens a flow at START and returns the caller's next segment.  */
+static struct hs_segment
+open_flow (struct hs_sidecar *sidecar, uint64_t start)
+{
+  struct hs_segment syn = make_segment (HS_SEGMENT_SYN, 9, 100, 0, 0);
+  struct hs_segment syn_ack
+      = make_reply (&syn, HS_SEGMENT_SYN | HS_SEGMENT_ACK, 500, 0);
+  struct hs_segment data = make_segment (HS_SEGMENT_ACK, 9, 101, 501, 50);
+
+  send_from_entry (sidecar, &syn, false, start);
+  hs_sidecar_handle_upstream_segment (sidecar, &syn_ack, start);
+  send_from_entry (sidecar, &data, false, start);
+  return make_segment (HS_SEGMENT_ACK, 9, 151, 551, 50);
+}
+
+/* Guards against a flow that is denied by its own agent after a pause that the
+   configuration in force allows, 45 s, since the agent has not heard of it: a
+   load query was lost or late, the entry has an older configuration, or the
+   agent was started again.  Whatever the steady clock shows, also shortly
+   after a start of the host.  */
+static void
+test_idle_flow_outlives_stale_timeout (void)
+{
+  static const struct idle_news news[][3] = {
+    { { 0, 0, 0 } },                                   /* Nothing.  */
+    { { 0, 6, 15000 } },                               /* Not the raise.  */
+    { { 0, 6, 15000 }, { 33000, 7, 45000 } },          /* The raise, late.  */
+    { { 0, 7, 45000 }, { 100, 6, 15000 } },            /* Out of order.  */
+    { { 0, 7, 45000 }, { 1, 6, 15000 }, { 2, 5, 1 } }, /* Older and older. */
+    { { 0, 1, 1000 }, { 20000, 2, 0 }, { 33000, 3, 45000 } },
+  };
+  static const uint64_t starts[]
+      = { 1, 1000, 20000, 3600000, UINT64_C (1) << 52 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (news) * G_N_ELEMENTS (starts); i++)
+    {
+      void *root = talloc_new (NULL);
+      struct resets resets = { 0 };
+      struct hs_sidecar *sidecar = create_sidecar (root, &resets, 1000);
+      const struct idle_news *heard = news[i / G_N_ELEMENTS (starts)];
+      uint64_t start = starts[i % G_N_ELEMENTS (starts)];
+      struct hs_segment data;
+      struct hs_sidecar_decision decision;
+
+      send_heartbeat (sidecar, HS_UPSTREAM_READY, 1000, 1, start);
+      data = open_flow (sidecar, start);
+      for (uint64_t at = 0; at < 34000; at += HS_SIDECAR_TICK_MS)
+        {
+          for (size_t k = 0; k < G_N_ELEMENTS (news[0]); k++)
+            if (heard[k].generation != 0 && heard[k].at >= at
+                && heard[k].at < at + HS_SIDECAR_TICK_MS)
+              hs_sidecar_set_flow_idle (sidecar, heard[k].generation,
+                                        heard[k].flow_idle_ms);
+          hs_sidecar_tick (sidecar, start + at);
+        }
+      g_assert_cmpint (hs_sidecar_lookup (sidecar, &data, start + 34000), ==,
+                       HS_LOOKUP_OWNED);
+      decision = send_from_entry (sidecar, &data, true, start + 34000);
+      g_assert_cmpint (decision.action, ==, HS_SIDECAR_TO_UPSTREAM);
+      g_assert_cmpint (decision.lookup_answer, ==, HS_LOOKUP_OWNED);
+      g_assert_cmpuint (resets.len, ==, 0);
+      talloc_free (root);
+    }
+}
+
+/* Guards against the same at an agent that was started again while the flow
+   was open, and hears of an older configuration first.  */
+static void
+test_idle_flow_outlives_agent_restart (void)
+{
+  void *root = talloc_new (NULL);
+  struct resets resets = { 0 };
+  struct hs_sidecar *sidecar = create_sidecar (root, &resets, 20000);
+  struct hs_segment data = make_segment (HS_SEGMENT_ACK, 9, 151, 551, 50);
+  struct hs_segment reply = make_reply (&data, HS_SEGMENT_ACK, 551, 50);
+
+  hs_sidecar_tick (sidecar, 10);
+  send_heartbeat (sidecar, HS_UPSTREAM_READY, 1000, 8, 20);
+  send_from_entry (sidecar, &data, false, 30);
+  hs_sidecar_handle_upstream_segment (sidecar, &reply, 40);
+  hs_sidecar_set_flow_idle (sidecar, 6, 15000);
+  for (uint64_t now = 100; now < 50000; now += HS_SIDECAR_TICK_MS)
+    hs_sidecar_tick (sidecar, now);
+  g_assert_cmpint (hs_sidecar_lookup (sidecar, &data, 50000), ==,
+                   HS_LOOKUP_OWNED);
+  g_assert_cmpint (send_from_entry (sidecar, &data, true, 50000).action, ==,
+                   HS_SIDECAR_TO_UPSTREAM);
+  talloc_free (root);
+}
+
+/* Guards against the reset of a silent flow by an entry that has an older,
+   shorter timeout, or has started since: it has no record of the flow and
+   looks for the owner, whose agent has heard of the older timeout only.  */
+static void
+test_idle_flow_outlives_stale_entry (void)
+{
+  struct entry entry = entry_create (0);
+  struct resets resets = { 0 };
+  struct hs_sidecar *owner = create_sidecar (entry.root, &resets, 1000);
+  struct hs_segment data;
+  struct hs_segment_key key;
+  struct hs_forward_decision decision;
+
+  send_heartbeat (owner, HS_UPSTREAM_READY, 1000, 1, 0);
+  data = open_flow (owner, 0);
+  key = hs_segment_key (&data, true);
+  hs_sidecar_set_flow_idle (owner, 6, 5000);
+  hs_forwarder_handle_owned (entry.forwarder, &key, hs_id_from_name ("x"), 0);
+  hs_forwarder_set_routing (entry.forwarder,
+                            make_routing (entry.root, ":12000", ":5000"));
+  for (uint64_t now = 100; now < 34000; now += HS_SIDECAR_TICK_MS)
+    {
+      hs_forwarder_tick (entry.forwarder, now);
+      hs_sidecar_tick (owner, now);
+    }
+  g_assert_cmpuint (hs_forwarder_flows_len (entry.forwarder), ==, 0);
+  decision = hs_forwarder_route (entry.forwarder, &data, 34000);
+  g_assert_cmpint (decision.action, ==, HS_FORWARD_QUEUE);
+  hs_forwarder_handle_not_owned (entry.forwarder, &key, hs_id_from_name ("y"),
+                                 34001);
+  hs_forwarder_handle_not_owned (entry.forwarder, &key, hs_id_from_name ("z"),
+                                 34002);
+  if (hs_sidecar_lookup (owner, &data, 34003) == HS_LOOKUP_OWNED)
+    hs_forwarder_handle_owned (entry.forwarder, &key, hs_id_from_name ("x"),
+                               34003);
+  else
+    hs_forwarder_handle_not_owned (entry.forwarder, &key,
+                                   hs_id_from_name ("x"), 34003);
+  g_assert_cmpuint (entry.resets->len, ==, 0);
+  g_assert_cmpuint (entry.calls->sent_len, ==, 1);
+  g_assert_cmpuint (entry.calls->sent_to_id, ==, hs_id_from_name ("x"));
+  talloc_free (entry.root);
+}
+
 /* From its second retransmission on, an unanswered SYN also goes to another
    agent.  */
 static void
@@ -2490,6 +2654,12 @@
                    test_entry_follows_idle_timeout);
   g_test_add_func ("/segment/agent-idle-timeout",
                    test_agent_follows_idle_timeout);
+  g_test_add_func ("/segment/stale-idle-timeout",
+                   test_idle_flow_outlives_stale_timeout);
+  g_test_add_func ("/segment/stale-idle-timeout-restart",
+                   test_idle_flow_outlives_agent_restart);
+  g_test_add_func ("/segment/stale-idle-timeout-entry",
+                   test_idle_flow_outlives_stale_entry);
   g_test_add_func ("/segment/unanswered-syn",
                    test_unanswered_syn_goes_to_second_agent);
   g_test_add_func ("/segment/syn-copies-follow-route",
