Tell a later flow from the same port by what the upstream has sent last

Cause: an agent took a caller's segment for one of another flow if it acknowledged 2^24 or more beyond the upstream's first sequence number.

Change: the agent follows the end of what the upstream has sent and compares with that, 2^24 in both directions. A caller acknowledges what was sent last, so that the number of bytes no longer matters, and a later flow is still told with the same certainty.

Related paths read: the caller's sequence numbers in hs_sidecar_begin_request (signed difference to the latest, wraps) and is_of_unowned_flow (segments at most 1.5 s apart).

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -941,8 +941,8 @@
                               flow or cannot accept the SYN.  */
 };
 
-/* Sequence numbers of one flow differ by less than this: the largest number of
-   bytes that a flow carries.  */
+/* Sequence numbers of one flow that are sent within seconds of each other
+   differ by less than this.  It does not bound the bytes of a flow.  */
 #define HS_SEQUENCE_WINDOW (1U << 24)
 
 struct hs_segment
--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -104,6 +104,8 @@
                                     struct hs_sidecar_flow *flow,
                                     const struct hs_segment *segment,
                                     uint64_t now);
+static void track_upstream_sequence (struct hs_sidecar_flow *flow,
+                                     const struct hs_segment *segment);
 static void set_flow_open (struct hs_sidecar *sidecar,
                            struct hs_sidecar_flow *flow, bool open);
 static void set_flow_dormant (struct hs_sidecar *sidecar,
@@ -694,17 +696,34 @@
 track_upstream_segment (struct hs_sidecar *sidecar,
                         struct hs_sidecar_flow *flow,
                         const struct hs_segment *segment, uint64_t now)
+{
+  track_upstream_sequence (flow, segment);
+  if (segment->payload_len > 0)
+    hs_sidecar_end_request (sidecar, flow, now);
+  hs_sidecar_assign_slots (sidecar, now);
+}
+
+static void
+track_upstream_sequence (struct hs_sidecar_flow *flow,
+                         const struct hs_segment *segment)
 {
   unsigned int syn_ack = HS_SEGMENT_SYN | HS_SEGMENT_ACK;
+  uint32_t end = segment->seq + segment->payload_len;
 
+  if ((segment->flags & HS_SEGMENT_RST) != 0)
+    return;
+  end += (segment->flags & HS_SEGMENT_SYN) != 0;
+  end += (segment->flags & HS_SEGMENT_FIN) != 0;
   if ((segment->flags & syn_ack) == syn_ack)
     {
       flow->upstream_isn = segment->seq;
+      if (!flow->has_upstream_isn)
+        flow->upstream_end = end;
       flow->has_upstream_isn = true;
     }
-  if (segment->payload_len > 0)
-    hs_sidecar_end_request (sidecar, flow, now);
-  hs_sidecar_assign_slots (sidecar, now);
+  /* A segment far away is a late one of an earlier flow.  */
+  if (end - flow->upstream_end < HS_SEQUENCE_WINDOW)
+    flow->upstream_end = end;
 }
 
 /* Returns whether SEGMENT of the upstream is the first that shows that the
@@ -739,7 +758,9 @@
    upstream.  Two upstreams may answer copies of one SYN, and the caller
    completes one handshake only.  Until it has completed that of this upstream,
    which then has sent nothing but its SYN+ACK, it can acknowledge nothing else
-   of it.  */
+   of it.  Afterwards it acknowledges what the upstream has sent last, however
+   much that is in all; anything else belongs to a later flow from the same
+   port.  */
 static bool
 acks_other_handshake (const struct hs_sidecar_flow *flow,
                       const struct hs_segment *segment)
@@ -759,7 +780,8 @@
       break;
     }
   return flow->has_upstream_isn
-         && segment->ack - flow->upstream_isn >= HS_SEQUENCE_WINDOW;
+         && segment->ack - flow->upstream_end + HS_SEQUENCE_WINDOW
+                >= 2 * HS_SEQUENCE_WINDOW;
 }
 
 /* Removes a flow that was reset or that both ends have closed.  Segments that
--- a/src/segment/sidecar_state.h
+++ b/src/segment/sidecar_state.h
@@ -28,7 +28,9 @@
   struct hs_addr entry; /* Entry that sent the latest segment.  */
   uint32_t syn_seq;
   uint32_t upstream_isn; /* Sequence number of the SYN+ACK.  */
-  bool has_upstream_isn;
+  bool has_upstream_isn; /* The next field is set, too.  */
+  uint32_t upstream_end; /* Sequence number after all that the upstream
+                            has sent.  */
   uint32_t last_caller_ack;
   bool owes_lookup_answer;     /* FLOW_PROBING: the entry waits for one.  */
   bool is_recovered;           /* Was open before this agent started.  */
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -955,15 +955,6 @@
     }
 }
 
-static uint32_t
-reported_flows (const struct hs_sidecar *sidecar, uint64_t now)
-{
-  struct hs_load_report report = { 0 };
-
-  hs_sidecar_fill_load_report (sidecar, &report, now);
-  return report.open_flows;
-}
-
 /* The same for an agent, which is told the timeout by the entries.  An entry
    that has not seen the newest configuration yet changes nothing.  A flow that
    is silent for the timeout no longer counts as load, but the agent does not
@@ -993,16 +984,16 @@
   hs_sidecar_tick (sidecar, 59000 + 45000);
   g_assert_cmpint (hs_sidecar_lookup (sidecar, &data, 59000 + 45000), ==,
                    HS_LOOKUP_OWNED);
-  g_assert_cmpuint (reported_flows (sidecar, 59000 + 45000), ==, 1);
+  g_assert_cmpuint (get_load (sidecar).open_flows, ==, 1);
   hs_sidecar_set_flow_idle (sidecar, 8, 15000);
   hs_sidecar_tick (sidecar, 59000 + 45000);
-  g_assert_cmpuint (reported_flows (sidecar, 59000 + 45000), ==, 0);
+  g_assert_cmpuint (get_load (sidecar).open_flows, ==, 0);
   g_assert_cmpuint (hs_sidecar_dormant_flows (sidecar), ==, 1);
   g_assert_cmpint (hs_sidecar_lookup (sidecar, &data, 59000 + 45000), ==,
                    HS_LOOKUP_OWNED);
   g_assert_cmpint (send_from_entry (sidecar, &data, false, 104000).action, ==,
                    HS_SIDECAR_TO_UPSTREAM);
-  g_assert_cmpuint (reported_flows (sidecar, 104000), ==, 1);
+  g_assert_cmpuint (get_load (sidecar).open_flows, ==, 1);
   /* The lifetime of a flow bounds the number that are kept.  */
   hs_sidecar_tick (sidecar, 104000 + 63000);
   g_assert_cmpint (hs_sidecar_lookup (sidecar, &data, 104000 + 63000), ==,
@@ -2478,6 +2469,72 @@
       }
 }
 
+/* Sends BYTES on the open flow that the handshake from 100 and ISN opened, in
+   full segments, and an acknowledgement of each.  IS_UPLOAD: from the caller.
+   Each segment must be passed on, and the agent must own the flow.  */
+static void
+carry_bytes (struct hs_sidecar *sidecar, uint32_t isn, uint64_t bytes,
+             bool is_upload)
+{
+  struct hs_segment data = make_segment (HS_SEGMENT_ACK, 9, 101, isn + 1, 0);
+  struct hs_segment reply = make_reply (&data, HS_SEGMENT_ACK, isn + 1, 0);
+  uint64_t now = 10;
+
+  for (uint64_t sent = 0; sent < bytes; sent += UINT16_MAX)
+    {
+      uint16_t *len = is_upload ? &data.payload_len : &reply.payload_len;
+
+      *len = UINT16_MAX;
+      now += sent % 97 == 0;
+      if (is_upload)
+        g_assert_cmpint (send_from_entry (sidecar, &data, false, now).action,
+                         ==, HS_SIDECAR_TO_UPSTREAM);
+      g_assert_cmpint (
+          hs_sidecar_handle_upstream_segment (sidecar, &reply, now).action, ==,
+          HS_SIDECAR_TO_CALLER);
+      data.seq += data.payload_len;
+      reply.seq += reply.payload_len;
+      data.ack = reply.seq;
+      reply.ack = data.seq;
+      data.payload_len = 0;
+      g_assert_cmpint (hs_sidecar_lookup (sidecar, &data, now), ==,
+                       HS_LOOKUP_OWNED);
+      g_assert_cmpint (send_from_entry (sidecar, &data, true, now).action, ==,
+                       HS_SIDECAR_TO_UPSTREAM);
+    }
+}
+
+/* Guards against a flow that its own agent denies once the caller has read or
+   sent so many bytes, also where sequence numbers wrap.  */
+static void
+test_flow_of_any_length (void)
+{
+  static const uint32_t isns[] = { 500, UINT32_MAX - 20, INT32_MAX - 20 };
+
+  for (size_t i = 0; i < 2 * G_N_ELEMENTS (isns); i++)
+    {
+      void *root = talloc_new (NULL);
+      struct resets resets = { 0 };
+      struct hs_sidecar *sidecar = create_sidecar (root, &resets, 1000);
+      uint32_t isn = isns[i / 2];
+      struct hs_segment syn = make_segment (HS_SEGMENT_SYN, 9, 100, 0, 0);
+      struct hs_segment syn_ack
+          = make_reply (&syn, HS_SEGMENT_SYN | HS_SEGMENT_ACK, isn, 0);
+      struct hs_segment other;
+
+      send_heartbeat (sidecar, HS_UPSTREAM_READY, 2000, 1, 0);
+      send_from_entry (sidecar, &syn, false, 0);
+      hs_sidecar_handle_upstream_segment (sidecar, &syn_ack, 1);
+      carry_bytes (sidecar, isn, (UINT64_C (1) << 32) + (1 << 25), i % 2 != 0);
+      /* What is far from the upstream's latest byte is another flow's.  */
+      other = make_segment (HS_SEGMENT_ACK, 9, 7, isn + (3U << 30), 50);
+      g_assert_cmpint (hs_sidecar_lookup (sidecar, &other, 5000), ==,
+                       HS_LOOKUP_NOT_OWNED);
+      g_assert_cmpuint (resets.len, ==, 0);
+      talloc_free (root);
+    }
+}
+
 /* A paused entry forwards a SYN late, after the caller has completed the
    handshake of another upstream.  A SYN+ACK of this upstream must not open the
    flow here, or the flow's segments would be reset.  */
@@ -2709,6 +2766,7 @@
   g_test_add_func ("/segment/incomplete-pool",
                    test_incomplete_pool_defers_reset);
   g_test_add_func ("/segment/many-agents-queried", test_many_agents_queried);
+  g_test_add_func ("/segment/flow-of-any-length", test_flow_of_any_length);
   g_test_add_func ("/segment/port-used-again", test_port_used_again);
   g_test_add_func ("/segment/former-services", test_former_services_queried);
   g_test_add_func ("/segment/no-upstream-not-queried",
