--- a/tests/e2e/segments.sh
+++ b/tests/e2e/segments.sh
@@ -29,7 +29,7 @@
   test "$(odd_call POST "$NET.21:$HEARTBEAT_PORT" \
     /hibiscusspan/instances/i-1/heartbeat \
     "{\"service\":\"alpha\",\"address\":\"$NET.21:$UPSTREAM_PORT\",
-\"slots\":8,\"state\":\"draining\",\"coldRemainingMs\":0,\"seq\":99999,
+\"zone\":\"a\",\"version\":\"1\",\"slots\":8,\"state\":\"draining\",\"coldRemainingMs\":0,\"seq\":99999,
 \"born\":$STARTED_AT_MS,$odd}")" = 400
   test "$(odd_call PUT "$NET.1:$API_PORT" /v1/configuration \
     "{\"version\":5,$odd,\"routes\":$nested}")" = 400
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -7,6 +7,7 @@
 #include "hibiscusspan.h"
 #include "platform/platform.h"
 
+#include <jansson.h>
 #include <string.h>
 
 /* Types.  */
@@ -328,6 +329,21 @@
   talloc_free (root);
 }
 
+/* Opens a flow at START and returns the caller's next segment.  */
+static struct hs_segment
+open_flow (struct hs_sidecar *sidecar, uint64_t start)
+{
+  struct hs_segment syn = make_segment (HS_SEGMENT_SYN, 9, 100, 0, 0);
+  struct hs_segment syn_ack
+      = make_reply (&syn, HS_SEGMENT_SYN | HS_SEGMENT_ACK, 500, 0);
+  struct hs_segment data = make_segment (HS_SEGMENT_ACK, 9, 101, 501, 50);
+
+  send_from_entry (sidecar, &syn, false, start);
+  hs_sidecar_handle_upstream_segment (sidecar, &syn_ack, start);
+  send_from_entry (sidecar, &data, false, start);
+  return make_segment (HS_SEGMENT_ACK, 9, 151, 551, 50);
+}
+
 static struct hs_load_report
 get_load (const struct hs_sidecar *sidecar)
 {
@@ -551,16 +567,21 @@
       = { "",
           "[]",
           "{\"service\":\"alpha\"",
-          "{\"service\":1,\"address\":\"10.0.0.1:8080\",\"slots\":7,"
+          "{\"service\":1,\"address\":\"10.0.0.1:8080\",\"zone\":\"a\","
+          "\"version\":\"v1\",\"slots\":7,"
           "\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":4}",
-          "{\"service\":\"alpha\",\"address\":\"nowhere\",\"slots\":7,"
+          "{\"service\":\"alpha\",\"address\":\"nowhere\",\"zone\":\"a\","
+          "\"version\":\"v1\",\"slots\":7,"
           "\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":4}",
           "{\"service\":\"alpha\",\"address\":\"10.0.0.1:8080\","
-          "\"slots\":\"7\",\"state\":\"ready\",\"coldRemainingMs\":0,"
+          "\"zone\":\"a\",\"version\":\"v1\",\"slots\":\"7\",\"state\":"
+          "\"ready\",\"coldRemainingMs\":0,"
           "\"seq\":4}",
-          "{\"service\":\"alpha\",\"address\":\"10.0.0.1:8080\",\"slots\":7,"
+          "{\"service\":\"alpha\",\"address\":\"10.0.0.1:8080\",\"zone\":"
+          "\"a\",\"version\":\"v1\",\"slots\":7,"
           "\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":-4}",
-          "{\"service\":\"alpha\",\"address\":\"10.0.0.1:8080\",\"slots\":7,"
+          "{\"service\":\"alpha\",\"address\":\"10.0.0.1:8080\",\"zone\":"
+          "\"a\",\"version\":\"v1\",\"slots\":7,"
           "\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":4,"
           "\"born\":1.5}" };
   struct hs_heartbeat heartbeat;
@@ -599,7 +620,8 @@
 test_odd_heartbeats (void)
 {
   static const char format[]
-      = "{\"service\":\"alpha\",\"address\":\"%s\",\"slots\":%s,"
+      = "{\"service\":\"alpha\",\"address\":\"%s\",\"zone\":\"a\","
+        "\"version\":\"v1\",\"slots\":%s,"
         "\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":%s,"
         "\"born\":%s,\"x\":%s}";
   static const char address[] = "10.0.0.1:8080";
@@ -648,6 +670,103 @@
   talloc_free (root);
 }
 
+/* Decodes BODY, of LEN bytes, as a heartbeat of ID and, if it is well-formed,
+   hands it to the sidecar.  */
+static void
+receive_heartbeat (struct hs_sidecar *sidecar, const char *id,
+                   const char *body, size_t len, uint64_t now)
+{
+  struct hs_heartbeat heartbeat;
+
+  if (hs_platform_decode_heartbeat (NULL, id, body, len, &heartbeat, NULL))
+    hs_sidecar_handle_heartbeat (sidecar, &heartbeat, now, NULL);
+}
+
+/* Receives BODY between two heartbeats of the upstream itself, and checks that
+   it resets no flow and that the upstream is still followed.  */
+static void
+check_heartbeat_changes_nothing (const char *body, size_t len)
+{
+  void *root = talloc_new (NULL);
+  struct resets resets = { 0 };
+  struct hs_sidecar *sidecar = create_sidecar (root, &resets, 1000);
+  struct hs_segment data;
+
+  send_heartbeat (sidecar, HS_UPSTREAM_READY, 5000, 1, 0);
+  data = open_flow (sidecar, 1);
+  receive_heartbeat (sidecar, "i-9", body, len, 2);
+  g_assert_cmpuint (resets.len, ==, 0);
+  g_assert_cmpint (get_load (sidecar).state, ==, HS_AGENT_READY);
+  g_assert_cmpuint (get_load (sidecar).slots, ==, 7);
+  g_assert_cmpuint (get_load (sidecar).cold_ms, ==, 0);
+  g_assert_cmpint (hs_sidecar_lookup (sidecar, &data, 3), ==, HS_LOOKUP_OWNED);
+  send_heartbeat (sidecar, HS_UPSTREAM_DRAINING, 5000, 2, 4);
+  g_assert_cmpint (get_load (sidecar).state, ==, HS_AGENT_DRAINING);
+  g_assert_cmpuint (resets.len, ==, 0);
+  talloc_free (root);
+}
+
+/* Guards against a heartbeat of another writer that resets the flows of an
+   upstream that lives: each field missing or of another type, values that the
+   protocol does not name, another service or upstream, and unreadable
+   bytes.  */
+static void
+test_foreign_heartbeats_change_nothing (void)
+{
+  static const char whole[]
+      = "{\"service\":\"alpha\",\"address\":\"10.0.0.1:8080\","
+        "\"zone\":\"a\",\"version\":\"v1\",\"slots\":3,"
+        "\"state\":\"ready\",\"coldRemainingMs\":9,\"seq\":90,"
+        "\"born\":9000}";
+  static const char *const fields[]
+      = { "service", "address",         "zone", "version", "slots",
+          "state",   "coldRemainingMs", "seq",  "born" };
+  static const char *const values[]
+      = { "null", "true",     "1.5",   "-1",  "[]",   "{}",
+          "\"\"", "\"beta\"", "\"1\"", "[7]", "1e400" };
+  static const char *const foreign[][2]
+      = { { "state", "\"Ready\"" },
+          { "state", "\"leaving\"" },
+          { "service", "\"beta\"" },
+          { "address", "\"10.0.0.2:8080\"" },
+          { "address", "\"10.0.0.1:8081\"" } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (fields); i++)
+    for (size_t k = 0; k <= G_N_ELEMENTS (values); k++)
+      {
+        HS_AUTO_JSON json_t *body = json_loads (whole, 0, NULL);
+        json_t *value = k < G_N_ELEMENTS (values)
+                            ? json_loads (values[k], JSON_DECODE_ANY, NULL)
+                            : NULL;
+        g_autofree char *text = NULL;
+        /* Any text is a zone, or a version of the upstream's software.  */
+        bool is_valid = json_is_string (value)
+                        && (strcmp (fields[i], "zone") == 0
+                            || strcmp (fields[i], "version") == 0);
+
+        if (value != NULL)
+          json_object_set_new (body, fields[i], value);
+        else
+          json_object_del (body, fields[i]);
+        text = json_dumps (body, 0);
+        if (!is_valid)
+          check_heartbeat_changes_nothing (text, strlen (text));
+      }
+  for (size_t i = 0; i < G_N_ELEMENTS (foreign); i++)
+    {
+      HS_AUTO_JSON json_t *body = json_loads (whole, 0, NULL);
+      g_autofree char *text = NULL;
+
+      json_object_set_new (body, foreign[i][0],
+                           json_loads (foreign[i][1], JSON_DECODE_ANY, NULL));
+      text = json_dumps (body, 0);
+      check_heartbeat_changes_nothing (text, strlen (text));
+    }
+  for (size_t len = 0; len < strlen (whole); len++)
+    check_heartbeat_changes_nothing (whole, len);
+  check_heartbeat_changes_nothing ("{\"service\":\"\xff\"}", 15);
+}
+
 static void
 test_operations_decoded (void)
 {
@@ -1010,21 +1129,6 @@
   uint32_t flow_idle_ms;
 };
 
-/* Opens a flow at START and returns the caller's next segment.  */
-static struct hs_segment
-open_flow (struct hs_sidecar *sidecar, uint64_t start)
-{
-  struct hs_segment syn = make_segment (HS_SEGMENT_SYN, 9, 100, 0, 0);
-  struct hs_segment syn_ack
-      = make_reply (&syn, HS_SEGMENT_SYN | HS_SEGMENT_ACK, 500, 0);
-  struct hs_segment data = make_segment (HS_SEGMENT_ACK, 9, 101, 501, 50);
-
-  send_from_entry (sidecar, &syn, false, start);
-  hs_sidecar_handle_upstream_segment (sidecar, &syn_ack, start);
-  send_from_entry (sidecar, &data, false, start);
-  return make_segment (HS_SEGMENT_ACK, 9, 151, 551, 50);
-}
-
 /* Guards against a flow that is denied by its own agent after a pause that the
    configuration in force allows, 45 s, since the agent has not heard of it: a
    load query was lost or late, the entry has an older configuration, or the
@@ -2687,6 +2791,8 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/segment/odd-heartbeats", test_odd_heartbeats);
+  g_test_add_func ("/segment/foreign-heartbeats",
+                   test_foreign_heartbeats_change_nothing);
   g_test_add_func ("/segment/header-example", test_header_example);
   g_test_add_func ("/segment/header-round-trip", test_header_round_trip);
   g_test_add_func ("/segment/truncated-segment",
