Believe a restart of an upstream only if it no longer shows its earlier start

Cause: any later start was believed at once, and any earlier one ignored, whatever the upstream itself showed.

Change: a heartbeat of another start is a claim. It is believed once the heartbeat of the present one is 1.5 intervals overdue and it has answered no flow of its own since, or it has left, or it returns SYNs or segments of flows that it owned; its own heartbeat discards the claim. An earlier start is followed once the present one is silent for three intervals and the earlier one keeps reporting. The code is in a file of its own, sidecar_incarnation.c.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -2008,11 +2008,16 @@
 
 /* Returns false and sets HS_ERROR_INVALID if HEARTBEAT has another service or
    address than this upstream, or a state other than ready and draining.  One
-   that is not newer than the latest is ignored, and true is returned.  */
+   that is not newer than the latest is ignored, and true is returned.  One of
+   another incarnation is recorded as a claim, which takes effect once the
+   present incarnation no longer shows that it runs.  */
 bool hs_sidecar_handle_heartbeat (struct hs_sidecar *sidecar,
                                   const struct hs_heartbeat *heartbeat,
                                   uint64_t now, GError **error);
 
+/* Returns whether another incarnation is claimed and not confirmed.  */
+bool hs_sidecar_has_claim (const struct hs_sidecar *sidecar);
+
 /* Records that the upstream stops.  Ignored if ID is not that of the last
    heartbeat.  */
 void hs_sidecar_handle_upstream_leave (struct hs_sidecar *sidecar,
--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -423,6 +423,11 @@
       return;
     }
   hs_counter_add (agent->metrics.heartbeats, 1);
+  if (hs_sidecar_has_claim (agent->sidecar))
+    hs_log_write (agent->log, HS_LOG_INFO, "restart-unconfirmed",
+                  "{s:s, s:I, s:I}", "upstream", call->id, "born",
+                  (json_int_t)call->heartbeat.started_at, "seq",
+                  (json_int_t)call->heartbeat.seq);
   hs_sidecar_fill_load_report (agent->sidecar, &load, now);
   if (load.state != agent->reported_state)
     {
--- a/src/segment/sidecar.c
+++ b/src/segment/sidecar.c
@@ -24,25 +24,11 @@
 
 /* Types.  */
 
-/* Time by which the flow recovery is longer than the longest lifetime of a
-   flow.  */
-#define FLOW_RECOVERY_MARGIN_MS 15000
-
-/* If the upstream started less than this before its agent, both started
-   together and there is nothing to recover: in so short a time an earlier
-   agent process cannot have received a heartbeat, opened a flow, ended and
-   been restarted.  The processes of a host start within 130 ms.  */
-#define SIMULTANEOUS_START_MS 250
-
 /* Time for which a flow counts as not owned after the upstream has returned or
    reset a segment of it; no segment is delivered to probe it again until
    then.  */
 #define NOT_OWNED_TTL_MS 1500
 
-/* Heartbeat intervals without a heartbeat after which the upstream counts as
-   silent.  */
-#define HEARTBEATS_MISSED_MAX 3
-
 /* Heartbeat intervals after the agent's first tick within which a heartbeat
    should come.  If none does, the agent assumes that it has no upstream whose
    flows could be recovered.  */
@@ -56,10 +42,6 @@
    upstream counts as silent.  The handshake takes less than 10 ms.  */
 #define SYN_TIMEOUT_MS 150
 
-/* Time after the end of an evacuation in which a heartbeat may still have been
-   sent before it, by an upstream that did not know of the end.  */
-#define EVACUATION_END_MARGIN_MS 100
-
 /* Private functions.  */
 
 static bool has_no_upstream (const struct hs_sidecar *sidecar);
@@ -95,11 +77,6 @@
                                 const struct hs_segment *segment);
 static struct hs_sidecar_decision decide (enum hs_sidecar_action action,
                                           enum hs_reason reason);
-static void discard_flows (struct hs_sidecar *sidecar);
-static void report_lost_flow (void *ctx, struct hs_segment_flow *base);
-static void begin_incarnation (struct hs_sidecar *sidecar,
-                               const struct hs_heartbeat *heartbeat,
-                               uint64_t now);
 static void track_upstream_segment (struct hs_sidecar *sidecar,
                                     struct hs_sidecar_flow *flow,
                                     const struct hs_segment *segment,
@@ -189,46 +166,6 @@
   return sidecar->dormant_flows;
 }
 
-bool
-hs_sidecar_handle_heartbeat (struct hs_sidecar *sidecar,
-                             const struct hs_heartbeat *heartbeat,
-                             uint64_t now, GError **error)
-{
-  if (strcmp (heartbeat->service_name, sidecar->service_name) != 0
-      || !hs_addr_equal (&heartbeat->address, &sidecar->upstream)
-      || (heartbeat->state != HS_UPSTREAM_READY
-          && heartbeat->state != HS_UPSTREAM_DRAINING))
-    {
-      g_set_error (error, HS_ERROR, HS_ERROR_INVALID,
-                   "heartbeat of %s: expected the service and address of this "
-                   "agent's upstream, and the state ready or draining",
-                   heartbeat->id);
-      return false;
-    }
-  if (sidecar->last_heartbeat.started_at > heartbeat->started_at)
-    return true;
-  if (sidecar->last_heartbeat.started_at < heartbeat->started_at)
-    begin_incarnation (sidecar, heartbeat, now);
-  else if (sidecar->last_heartbeat.seq >= heartbeat->seq)
-    return true;
-  sidecar->last_heartbeat = *heartbeat;
-  sidecar->last_heard_at = now;
-  sidecar->rejects_syns = false;
-  sidecar->cold_until = now + heartbeat->cold_ms;
-  if (now >= sidecar->evacuated_until + EVACUATION_END_MARGIN_MS)
-    sidecar->is_assumed_cold = false;
-  if (sidecar->state != HS_UPSTREAM_LEFT)
-    sidecar->state = heartbeat->state;
-  return true;
-}
-
-void
-hs_sidecar_handle_upstream_leave (struct hs_sidecar *sidecar, const char *id)
-{
-  if (strcmp (sidecar->last_heartbeat.id, id) == 0)
-    sidecar->state = HS_UPSTREAM_LEFT;
-}
-
 void
 hs_sidecar_drain (struct hs_sidecar *sidecar)
 {
@@ -336,6 +273,8 @@
       && (flow->state == FLOW_PROBING || flow->state == FLOW_NOT_OWNED))
     return mark_not_owned (sidecar, flow, now);
   flow = find_or_add_flow (sidecar, &key, now);
+  if (flow->state == FLOW_OPEN && (segment->flags & HS_SEGMENT_RST) == 0)
+    hs_sidecar_note_answer (sidecar, flow, now);
   if (confirms_ownership (flow, segment))
     {
       decision.is_new_flow = true;
@@ -345,6 +284,7 @@
       flow->owes_lookup_answer = false;
       flow->state = FLOW_OPEN;
       set_flow_open (sidecar, flow, true);
+      flow->opened_at = now;
     }
   decision.starts_response = segment->payload_len > 0 && flow->request_active;
   decision.response_ms
@@ -357,7 +297,7 @@
 void
 hs_sidecar_tick (struct hs_sidecar *sidecar, uint64_t now)
 {
-  uint64_t silence_ms = HEARTBEATS_MISSED_MAX * sidecar->heartbeat_ms;
+  uint64_t silence_ms = HS_HEARTBEATS_MISSED_MAX * sidecar->heartbeat_ms;
 
   if (sidecar->first_tick_at == 0)
     sidecar->first_tick_at = now;
@@ -375,6 +315,7 @@
   hs_sidecar_raise_capacity (sidecar, now);
   if (sidecar->recovery_until != 0 && now >= sidecar->recovery_until)
     sidecar->recovery_until = 0;
+  hs_sidecar_check_claim (sidecar, now);
   if (sidecar->state != HS_UPSTREAM_READY)
     return;
   if (now - sidecar->last_heard_at > silence_ms
@@ -564,6 +505,7 @@
     {
       flow->state = FLOW_OPEN;
       set_flow_open (sidecar, flow, true);
+      flow->opened_at = now;
     }
   flow->entry = *entry;
   if (flow->state == FLOW_PROBING)
@@ -606,6 +548,8 @@
     }
   was_open = flow->state == FLOW_OPEN;
   decision = mark_not_owned (sidecar, flow, now);
+  if (was_open)
+    hs_sidecar_note_lost_flow (sidecar);
   /* The upstream owned the flow and no longer does.  Only the caller does not
      know that yet, so it is reset.  */
   if (was_open)
@@ -649,49 +593,6 @@
   return (struct hs_sidecar_decision){ .action = action, .reason = reason };
 }
 
-/* The flows of the upstream's earlier incarnation ended with it.  */
-static void
-begin_incarnation (struct hs_sidecar *sidecar,
-                   const struct hs_heartbeat *heartbeat, uint64_t now)
-{
-  bool is_first = sidecar->last_heartbeat.started_at == 0;
-  uint64_t start = sidecar->first_tick_at != 0 ? sidecar->first_tick_at : now;
-
-  sidecar->state = HS_UPSTREAM_UNKNOWN;
-  sidecar->recovery_until = 0;
-  sidecar->capacity = 0;
-  if (!is_first)
-    discard_flows (sidecar);
-  else if (heartbeat->started_at + SIMULTANEOUS_START_MS < sidecar->started_at)
-    {
-      sidecar->recovery_until
-          = now + sidecar->flow_lifetime_ms + FLOW_RECOVERY_MARGIN_MS;
-      /* An earlier process of the agent may have filled it just before.  */
-      hs_warm_up_fill (sidecar->warm_up, start);
-    }
-}
-
-static void
-discard_flows (struct hs_sidecar *sidecar)
-{
-  hs_segment_flow_table_foreach (sidecar->flows, report_lost_flow, sidecar);
-  hs_segment_flow_table_clear (sidecar->flows);
-}
-
-static void
-report_lost_flow (void *ctx, struct hs_segment_flow *base)
-{
-  struct hs_sidecar *sidecar = ctx;
-  const struct hs_sidecar_flow *flow = (struct hs_sidecar_flow *)base;
-  struct hs_segment segment = { .from = base->key.caller,
-                                .to = base->key.address,
-                                .flags = HS_SEGMENT_ACK,
-                                .ack = flow->last_caller_ack };
-
-  if (flow->is_open)
-    sidecar->ops.flow_lost (sidecar->ctx, &segment);
-}
-
 static void
 track_upstream_segment (struct hs_sidecar *sidecar,
                         struct hs_sidecar_flow *flow,
--- a/src/segment/sidecar_state.h
+++ b/src/segment/sidecar_state.h
@@ -6,6 +6,10 @@
 
 #include "segment/segment_flow_table.h"
 
+/* Heartbeat intervals without a heartbeat after which the upstream counts as
+   silent.  */
+#define HS_HEARTBEATS_MISSED_MAX 3
+
 enum hs_sidecar_flow_state
 {
   FLOW_SYN_SENT,        /* The SYN was delivered to the upstream.  */
@@ -48,6 +52,7 @@
   struct hs_list wait_link;    /* In waiting_requests, if REQUEST_ACTIVE and
                                   not HAS_SLOT.  */
   bool is_open;                /* Counted in open_flows of the sidecar.  */
+  uint64_t opened_at;          /* ms, if IS_OPEN.  */
   bool is_dormant;             /* Open, and silent for longer than the idle
                                   timeout; counted in dormant_flows.  */
   struct hs_list pending_link; /* In pending_syns of the sidecar.  */
@@ -80,10 +85,14 @@
   /* State of the upstream's present incarnation.  */
   enum hs_upstream_state state;
   struct hs_heartbeat last_heartbeat;
-  uint64_t last_heard_at;   /* Time of last_heartbeat, ms.  */
-  uint64_t cold_until;      /* End of the slow phase after a start, ms.  */
-  bool is_assumed_cold;     /* An evacuation has ended, and no heartbeat has
-                               told since whether the upstream is cold.  */
+  uint64_t last_heard_at;  /* Time of last_heartbeat, ms.  */
+  uint64_t last_answer_at; /* Its latest segment of a flow that was open before
+                              last_heard_at, ms; 0: none.  */
+  bool lost_flow;          /* It has returned a segment of a flow that it owned
+                              since LAST_HEARD_AT.  */
+  uint64_t cold_until;     /* End of the slow phase after a start, ms.  */
+  bool is_assumed_cold;    /* An evacuation has ended, and no heartbeat has
+                              told since whether the upstream is cold.  */
   uint64_t evacuated_until; /* ms, if IS_ASSUMED_COLD.  */
   uint64_t recovery_until;  /* End of the flow recovery, ms; 0: ended.  */
   uint64_t last_segment_at; /* Time of the upstream's last segment, ms.  */
@@ -94,6 +103,12 @@
   bool rejects_syns;             /* The upstream has returned the latest SYN
                                     and sent no other segment or heartbeat
                                     since.  */
+
+  /* Another incarnation that a heartbeat has claimed.  */
+  struct hs_heartbeat claim; /* Its latest; started_at 0: none.  */
+  uint64_t claimed_since;    /* ms, arrival of its first heartbeat.  */
+  uint64_t claim_heard_at;   /* ms, arrival of CLAIM.  */
+
   uint32_t requests_in_progress;
   struct hs_list active_requests;  /* Flows with a request in progress, oldest
                                       request first.  */
@@ -114,6 +129,18 @@
   struct hs_cost_model *costs;
 };
 
+/* sidecar_incarnation.c: the incarnation of the upstream.  */
+
+/* Believes a claim that the present incarnation no longer disproves.  */
+void hs_sidecar_check_claim (struct hs_sidecar *sidecar, uint64_t now);
+
+/* The upstream has returned a segment of a flow that it owned.  */
+void hs_sidecar_note_lost_flow (struct hs_sidecar *sidecar);
+
+/* The upstream has sent a segment of FLOW, which is open.  */
+void hs_sidecar_note_answer (struct hs_sidecar *sidecar,
+                             const struct hs_sidecar_flow *flow, uint64_t now);
+
 /* sidecar.c: segments and flows.  */
 
 /* Returns the time in ms for which the upstream is cold, or counts as such; 0:
