Close HTTP servers before the queues of their calls are emptied

Cause: a call that arrives after the queue of calls was emptied leaves a suspended connection, on which the HTTP library ends the process when its server is stopped.

Change: hs_http_close; agents and control hosts of a group call it first.

Related paths read: a single control host waits until no request is open; the servers of health and metrics answer within the handler.

--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -174,6 +174,7 @@
 {
   void *item;
 
+  hs_http_close (agent->heartbeat_server);
   hs_segment_node_stop (agent->node);
   while ((item = hs_ring_pop (agent->calls)) != NULL)
     reject_call (item, STATUS_UNAVAILABLE, "agent is stopping");
--- a/src/control/group.c
+++ b/src/control/group.c
@@ -103,6 +103,7 @@
 {
   void *item;
 
+  hs_group_api_close (group->api);
   hs_datagrams_stop (group->datagrams);
   hs_worker_stop (group->decision_worker);
   hs_journal_writer_stop (group->journal_writer);
--- a/src/control/group_api.c
+++ b/src/control/group_api.c
@@ -89,6 +89,12 @@
   return NULL;
 }
 
+void
+hs_group_api_close (struct hs_group_api *api)
+{
+  hs_http_close (api->http);
+}
+
 void
 hs_group_api_destroy (struct hs_group_api *api)
 {
--- a/src/control/group_api.h
+++ b/src/control/group_api.h
@@ -50,6 +50,9 @@
                                           hs_group_call_fn *fn, void *ctx,
                                           GError **error);
 
+/* Returns once no call is being handed over; none follows.  */
+void hs_group_api_close (struct hs_group_api *api);
+
 /* Every call must have been answered.  */
 void hs_group_api_destroy (struct hs_group_api *api);
 
--- a/src/daemon/http.c
+++ b/src/daemon/http.c
@@ -24,6 +24,8 @@
   GMutex lock;
   GCond idle;
   size_t open_requests;
+  GMutex handler_lock; /* Held during a call of the handler.  */
+  bool closed;         /* Guarded by HANDLER_LOCK.  */
 };
 
 struct hs_http_request
@@ -57,6 +59,9 @@
                 const char *url, const char *method);
 static void append_body (struct hs_http_request *request, const char *data,
                          size_t len);
+static enum MHD_Result dispatch (struct hs_http_request *request);
+static void set_response (struct hs_http_request *request, unsigned int status,
+                          const char *content_type, const char *body);
 static enum MHD_Result send_response (struct hs_http_request *request);
 static void on_completed (void *ctx, struct MHD_Connection *connection,
                           void **state, enum MHD_RequestTerminationCode code);
@@ -108,6 +113,14 @@
   return idle;
 }
 
+void
+hs_http_close (struct hs_http *http)
+{
+  g_mutex_lock (&http->handler_lock);
+  http->closed = true;
+  g_mutex_unlock (&http->handler_lock);
+}
+
 void
 hs_http_destroy (struct hs_http *http)
 {
@@ -160,12 +173,7 @@
 hs_http_respond (struct hs_http_request *request, unsigned int status,
                  const char *content_type, const char *body)
 {
-  pthread_mutex_lock (&request->lock);
-  request->status = status;
-  request->content_type = g_strdup (content_type);
-  request->response_body = g_strdup (body);
-  request->responded = true;
-  pthread_mutex_unlock (&request->lock);
+  set_response (request, status, content_type, body);
   MHD_resume_connection (request->connection);
 }
 
@@ -192,15 +200,44 @@
       return MHD_YES;
     }
   if (!request->dispatched)
+    return dispatch (request);
+  return send_response (request);
+}
+
+static enum MHD_Result
+dispatch (struct hs_http_request *request)
+{
+  struct hs_http *http = request->http;
+  bool closed;
+
+  request->dispatched = true;
+  g_mutex_lock (&http->handler_lock);
+  closed = http->closed;
+  if (!closed)
     {
-      request->dispatched = true;
-      MHD_suspend_connection (connection);
+      MHD_suspend_connection (request->connection);
       http->handler (http->ctx, request);
-      return MHD_YES;
     }
+  g_mutex_unlock (&http->handler_lock);
+  if (!closed)
+    return MHD_YES;
+  set_response (request, MHD_HTTP_SERVICE_UNAVAILABLE, "text/plain",
+                "stopping\n");
   return send_response (request);
 }
 
+static void
+set_response (struct hs_http_request *request, unsigned int status,
+              const char *content_type, const char *body)
+{
+  pthread_mutex_lock (&request->lock);
+  request->status = status;
+  request->content_type = g_strdup (content_type);
+  request->response_body = g_strdup (body);
+  request->responded = true;
+  pthread_mutex_unlock (&request->lock);
+}
+
 static struct hs_http_request *
 create_request (struct hs_http *http, struct MHD_Connection *connection,
                 const char *url, const char *method)
--- a/src/daemon/http.h
+++ b/src/daemon/http.h
@@ -27,7 +27,12 @@
    whether no request is open.  */
 bool hs_http_wait_idle (struct hs_http *http, unsigned int ms);
 
-/* Every request must have been responded to.  */
+/* Returns once no call of the handler is in progress; none follows.  Requests
+   that arrive later get status 503.  */
+void hs_http_close (struct hs_http *http);
+
+/* Every request must have been responded to.  Where a handler leaves that to
+   another thread, call hs_http_close first.  */
 void hs_http_destroy (struct hs_http *http);
 
 /* The returned strings belong to REQUEST.  hs_http_query and
