--- a/src/consensus/replica_log.c
+++ b/src/consensus/replica_log.c
@@ -9,6 +9,7 @@
 
 static struct hs_replica_log_entry *
 last_entry (const struct hs_replica *replica);
+static void remove_until (struct hs_replica *replica, uint64_t index);
 static void compact (struct hs_replica *replica);
 
 /* Public definitions.  */
@@ -111,13 +112,18 @@
     }
 }
 
+/* Entries after the snapshot stay if the log agrees with it at its end: this
+   host may have acknowledged them.  */
 void
 hs_replica_log_install_snapshot (struct hs_replica *replica,
                                  const struct hs_replica_snapshot *snapshot)
 {
   uint8_t *old = replica->snapshot.data;
 
-  hs_replica_log_truncate (replica, 0);
+  if (hs_replica_log_term (replica, snapshot->index) == snapshot->term)
+    remove_until (replica, snapshot->index);
+  else
+    hs_replica_log_truncate (replica, replica->snapshot.index + 1);
   replica->snapshot = *snapshot;
   replica->snapshot.data
       = talloc_memdup (replica, snapshot->data, snapshot->len);
@@ -197,6 +203,22 @@
   return HS_LIST_ENTRY (replica->log.prev, struct hs_replica_log_entry, link);
 }
 
+/* Removes the entries up to INDEX.  */
+static void
+remove_until (struct hs_replica *replica, uint64_t index)
+{
+  HS_LIST_FOREACH (link, &replica->log)
+    {
+      struct hs_replica_log_entry *entry
+          = HS_LIST_ENTRY (link, struct hs_replica_log_entry, link);
+
+      if (entry->index > index)
+        return;
+      hs_list_remove (link);
+      talloc_free (entry);
+    }
+}
+
 /* Replaces the applied entries by a snapshot, if there are enough of them.
    The records on disk keep these entries until the next rewrite.  A host that
    needs one of them is sent the snapshot instead, which is no larger than an
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -33,6 +33,16 @@
    as the deployments set it.  */
 #define ACK_MAX_MS 5000
 
+/* A host without a network whose records are loaded by another one, as after a
+   restart.  */
+struct lone_host
+{
+  struct hs_replica *replica;
+  struct hs_replica *restarted;
+  uint64_t sync_seq;           /* Of the latest request to sync.  */
+  uint64_t acknowledged_index; /* Highest one, of a successful reply.  */
+};
+
 /* Private functions.  */
 
 static unsigned int
@@ -347,6 +357,131 @@
   g_assert_true (run_case (strtoull (tokens[0], NULL, 10), faults, len));
 }
 
+static void
+on_lone_send (void *ctx, const struct hs_addr *to,
+              const struct hs_replica_message *message)
+{
+  struct lone_host *host = ctx;
+
+  (void)to;
+  if (message->type == HS_REPLICA_APPEND_REPLY && message->success)
+    host->acknowledged_index = MAX (host->acknowledged_index, message->index);
+}
+
+static void
+on_lone_record (void *ctx, const struct hs_replica_record *record)
+{
+  struct lone_host *host = ctx;
+
+  hs_replica_load_record (host->restarted, record);
+}
+
+static void
+on_lone_sync (void *ctx, uint64_t seq)
+{
+  struct lone_host *host = ctx;
+
+  host->sync_seq = seq;
+}
+
+static void
+ignore_entry (void *ctx, const struct hs_replica_log_entry *entry)
+{
+  (void)ctx;
+  (void)entry;
+}
+
+static void
+ignore_snapshot (void *ctx, const uint8_t *data, size_t len)
+{
+  (void)ctx;
+  (void)data;
+  (void)len;
+}
+
+static uint8_t *
+save_nothing (void *ctx, void *parent, size_t *len)
+{
+  (void)ctx;
+  (void)parent;
+  *len = 0;
+  return NULL;
+}
+
+static void
+ignore_state (void *ctx)
+{
+  (void)ctx;
+}
+
+/* Makes HOST receive the entries 1 to LEN of TERM from the leader, host 1.  */
+static void
+receive_entries (struct lone_host *host, const struct hs_control_host *leader,
+                 uint64_t term, size_t len)
+{
+  struct hs_replica_log_entry entries[HS_APPEND_ENTRIES_MAX] = { 0 };
+  struct hs_replica_message append = { .type = HS_REPLICA_APPEND,
+                                       .to = 2,
+                                       .from = *leader,
+                                       .term = term,
+                                       .entries_len = len };
+
+  for (size_t i = 0; i < len; i++)
+    {
+      entries[i]
+          = (struct hs_replica_log_entry){ .index = i + 1, .term = term };
+      append.entries[i] = &entries[i];
+    }
+  hs_replica_receive (host->replica, &append, 10);
+}
+
+/* Guards against entries that a host has acknowledged, or is about to, and
+   drops when it is sent a snapshot that ends before them: they may be
+   committed by its acknowledgement.  Entries of another term than the
+   snapshot's are not, and go.  */
+static void
+test_snapshot_keeps_entries (void)
+{
+  struct hs_replica_ops ops
+      = { on_lone_send,    on_lone_record, on_lone_sync, ignore_entry,
+          ignore_snapshot, save_nothing,   ignore_state };
+  struct hs_control_members members
+      = { .len = 3, .hosts = { { .id = 1 }, { .id = 2 }, { .id = 3 } } };
+
+  for (uint64_t snapshot_term = 5; snapshot_term <= 6; snapshot_term++)
+    {
+      struct lone_host host = { .sync_seq = 0 };
+      struct hs_replica_snapshot snapshot
+          = { .index = 3, .term = snapshot_term, .members = members };
+      struct hs_replica_message install
+          = { .type = HS_REPLICA_INSTALL_SNAPSHOT,
+              .to = 2,
+              .from = members.hosts[0],
+              .term = snapshot_term,
+              .commit_index = 3,
+              .snapshot = &snapshot };
+      uint64_t last_index = snapshot_term == 5 ? 5 : 3;
+
+      host.replica
+          = hs_replica_create (NULL, &members.hosts[1], 1, &ops, &host);
+      host.restarted
+          = hs_replica_create (NULL, &members.hosts[1], 1, &ops, &host);
+      hs_replica_bootstrap (host.replica, 2, &members);
+      hs_replica_start (host.replica, 0);
+      receive_entries (&host, &members.hosts[0], 5, 5);
+      hs_replica_receive (host.replica, &install, 20);
+      g_assert_cmpuint (hs_replica_last_index (host.replica), ==, last_index);
+      g_assert_cmpuint (hs_replica_applied_index (host.replica), ==, 3);
+      hs_replica_synced (host.replica, host.sync_seq, 30);
+      g_assert_cmpuint (host.acknowledged_index, <=,
+                        hs_replica_last_index (host.replica));
+      g_assert_cmpuint (hs_replica_last_index (host.restarted), ==,
+                        last_index);
+      hs_replica_destroy (host.restarted);
+      hs_replica_destroy (host.replica);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -366,6 +501,8 @@
       g_test_add_data_func (small_path, GINT_TO_POINTER (fault),
                             test_small_groups);
     }
+  g_test_add_func ("/replica/snapshot-keeps-entries",
+                   test_snapshot_keeps_entries);
   g_test_add_func ("/replica/pairs", test_fault_pairs);
   g_test_add_func ("/replica/replaced-in-turn", test_replaced_in_turn);
   g_test_add_func ("/replica/successor-joins-first",
