Renew directory entries at restarted agents and await the recorded owner

Two causes of several. The agents of a flow's directory lose their entries when they are restarted, and entries never sent them again, as the digest by which an entry notices other directory agents held their ids only. And where a directory agent did name the owner, agents that do not know their flows got the queued segments all the same, with each of their answers, while the named owner was being restarted.

Change: the digest has the agents' incarnations, so that an entry of an active flow is renewed within a second of its agent's first report. Once an owner is named, only that agent gets the segments, until it denies the flow or its record expires.

Tests, on the code before: recorded-at-restarted-directory fails (2 entries in place of 4), recorded-owner-awaited fails (37 sends in place of 1).

Tried and dropped: agents that do not know their flows get no segments for 1.2 s while any possible owner is away or the entry does not know all agents.

--- a/src/segment/forwarder_state.h
+++ b/src/segment/forwarder_state.h
@@ -29,8 +29,9 @@
   uint64_t owner_id;  /* 0: not known.  */
   uint64_t opened_at; /* ms, of the latest SYN that was not a retransmission;
                          0: none was seen here.  */
-  uint64_t directories_digest;     /* XOR of the ids of the agents that the
-                                      owner was recorded at; 0: none.  */
+  uint64_t directories_digest;     /* Of the agents that the owner was recorded
+                                      at, and their incarnations, which lose
+                                      their records; 0: none.  */
   uint64_t directories_checked_at; /* ms, when it was last compared.  */
   uint64_t service_id;
   enum hs_request_class request_class; /* Taken from the route.  */
--- a/src/segment/owner_lookup.c
+++ b/src/segment/owner_lookup.c
@@ -74,6 +74,9 @@
 static struct hs_segment latest_segment (const struct hs_forwarder_flow *flow);
 static bool is_non_owner (const struct hs_forwarder_flow *flow,
                           uint64_t agent_id);
+static bool is_other_recorded (const struct hs_forwarder *forwarder,
+                               const struct hs_forwarder_flow *flow,
+                               uint64_t agent_id);
 static bool has_no_owner (const struct hs_forwarder *forwarder,
                           const struct hs_forwarder_flow *flow,
                           enum lookup_scope scope, uint64_t now);
@@ -136,7 +139,9 @@
 
 /* In the narrow scopes, the agent is treated as one without a directory entry:
    another directory agent may name the owner.  If none does, the agent is
-   queried again in a wider scope, and gets the queued segments then.  */
+   queried again in a wider scope, and gets the queued segments then.  If one
+   does, only that owner gets them, until it denies the flow: it may be away
+   while it is restarted.  */
 void
 hs_forwarder_handle_unknown (struct hs_forwarder *forwarder,
                              const struct hs_segment_key *key,
@@ -151,7 +156,7 @@
     return;
   if (!is_narrow (flow->scope))
     {
-      if (agent != NULL)
+      if (agent != NULL && !is_other_recorded (forwarder, flow, agent_id))
         forwarder->ops.send_pending (forwarder->ctx, key, agent, true);
       return;
     }
@@ -234,7 +239,8 @@
   len = find_possible_owners (forwarder, flow, LOOKUP_SERVICE, agents, now);
   directories = find_directories (flow, agents, len);
   for (size_t i = 0; i < directories.len; i++)
-    digest ^= directories.agents[i]->report.agent_id;
+    digest ^= hs_rendezvous_score (directories.agents[i]->report.agent_id,
+                                   directories.agents[i]->report.incarnation);
   if (digest == flow->directories_digest)
     return;
   flow->directories_digest = digest;
@@ -510,6 +516,19 @@
   return false;
 }
 
+/* Returns whether the directory names another agent as the owner, which has
+   not denied the flow and may be back.  */
+static bool
+is_other_recorded (const struct hs_forwarder *forwarder,
+                   const struct hs_forwarder_flow *flow, uint64_t agent_id)
+{
+  uint64_t owner_id = flow->recorded_owner_id;
+
+  return owner_id != 0 && owner_id != agent_id
+         && !is_non_owner (flow, owner_id)
+         && hs_agent_pool_find (forwarder->pool, owner_id) != NULL;
+}
+
 /* Returns whether the agent has answered that it does not own the flow or, as
    a directory agent, that it does not know.  */
 static bool
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -1619,6 +1619,64 @@
   talloc_free (entry.root);
 }
 
+/* Guards against directory entries that are lost for good with the restarts of
+   the agents that keep them.  */
+static void
+test_recorded_at_restarted_directory (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment data = make_segment (HS_SEGMENT_ACK, 9, 101, 501, 50);
+  struct hs_segment_key key = { data.from, data.to };
+  struct hs_load_report report
+      = hs_agent_pool_find (entry.pool, hs_id_from_name ("y"))->report;
+
+  hs_forwarder_handle_owned (entry.forwarder, &key, hs_id_from_name ("x"), 1);
+  for (uint64_t now = 1000; now < 3000; now += 100)
+    hs_forwarder_route (entry.forwarder, &data, now);
+  g_assert_cmpuint (entry.calls->recorded_len, ==, 2);
+  report.incarnation++;
+  hs_agent_pool_update (entry.pool, &report, 3000);
+  for (uint64_t now = 3000; now < 5000; now += 100)
+    hs_forwarder_route (entry.forwarder, &data, now);
+  g_assert_cmpuint (entry.calls->recorded_len, ==, 4);
+  talloc_free (entry.root);
+}
+
+/* Guards against segments of an open flow that go to other upstreams while the
+   agent that the directory names as the owner is restarted.  Once it is back
+   it does not know its flows, and gets them.  */
+static void
+test_recorded_owner_awaited (void)
+{
+  struct entry entry = entry_create (0);
+  struct hs_segment data = make_segment (HS_SEGMENT_ACK, 9, 101, 501, 50);
+  struct hs_segment_key key = { data.from, data.to };
+  uint64_t owner = hs_id_from_name ("z");
+
+  hs_forwarder_route (entry.forwarder, &data, 0);
+  hs_forwarder_handle_recorded (entry.forwarder, &key, owner, 1);
+  g_assert_cmpuint (entry.calls->sent_len, ==, 1);
+  g_assert_cmpuint (entry.calls->sent_to_id, ==, owner);
+  for (uint64_t now = 50; now < 1000; now += 50)
+    {
+      hs_forwarder_tick (entry.forwarder, now);
+      hs_forwarder_handle_unknown (entry.forwarder, &key,
+                                   hs_id_from_name ("x"), now);
+      hs_forwarder_handle_unknown (entry.forwarder, &key,
+                                   hs_id_from_name ("y"), now);
+    }
+  g_assert_cmpuint (entry.calls->sent_len, ==, 1);
+  hs_forwarder_handle_unknown (entry.forwarder, &key, owner, 1000);
+  g_assert_cmpuint (entry.calls->sent_len, ==, 2);
+  g_assert_cmpuint (entry.calls->sent_to_id, ==, owner);
+  /* The entry was out of date: the others may own the flow.  */
+  hs_forwarder_handle_not_owned (entry.forwarder, &key, owner, 1001);
+  hs_forwarder_handle_unknown (entry.forwarder, &key, hs_id_from_name ("x"),
+                               1002);
+  g_assert_cmpuint (entry.calls->sent_to_id, ==, hs_id_from_name ("x"));
+  talloc_free (entry.root);
+}
+
 /* The uplink refuses the first round of a lookup after many others: the
    directory agent is still the first that is queried.  */
 static void
@@ -2966,6 +3024,10 @@
                    test_unknown_at_all_directories);
   g_test_add_func ("/segment/recorded-at-new-directory",
                    test_recorded_at_new_directory);
+  g_test_add_func ("/segment/recorded-at-restarted-directory",
+                   test_recorded_at_restarted_directory);
+  g_test_add_func ("/segment/recorded-owner-awaited",
+                   test_recorded_owner_awaited);
   g_test_add_func ("/segment/refused-round", test_refused_round_keeps_scope);
   g_test_add_func ("/segment/queries-on-credit",
                    test_narrow_queries_on_credit);
