Send no old segments to agents that do not know their flows

A flow that has been answered through one entry is still looked for by another, which sends the copy that it queued up to a second ago to agents that have been restarted.

Change: such agents get segments that have been queued for at most 500 ms; by then the caller has sent them again. The owner, and the agent that the directory names, get all of them as before.

Tests: held/since; unknown-answer and recorded-owner-awaited check the age. They use the new parameter and do not compile before.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -1676,11 +1676,13 @@
   void (*query_owner) (void *ctx, const struct hs_pool_agent *agent,
                        const struct hs_segment *segment);
 
-  /* Send the queued segments of the flow to AGENT.  With OWNER_ONLY, AGENT may
-     not be the owner: the segments are marked like those of a decision with
-     owner_only and stay queued.  Else AGENT is the owner.  */
+  /* Send the queued segments of the flow to AGENT, those that have been queued
+     for at most AGE_MAX_MS.  With OWNER_ONLY, AGENT may not be the owner: the
+     segments are marked like those of a decision with owner_only and stay
+     queued.  Else AGENT is the owner.  */
   void (*send_pending) (void *ctx, const struct hs_segment_key *key,
-                        const struct hs_pool_agent *agent, bool owner_only);
+                        const struct hs_pool_agent *agent, bool owner_only,
+                        uint64_t age_max_ms);
 
   /* Report to DIRECTORY, the flow's directory agent, that the agent OWNER_ID
      owns the flow.  */
--- a/src/entry/pending_segments.c
+++ b/src/entry/pending_segments.c
@@ -68,7 +68,7 @@
 
 void
 hs_pending_segments_foreach (const struct hs_pending_segments *pending,
-                             const struct hs_segment_key *key,
+                             const struct hs_segment_key *key, uint64_t since,
                              hs_pending_segment_fn *fn, void *ctx)
 {
   HS_LIST_FOREACH (link, &pending->list)
@@ -76,7 +76,7 @@
       const struct pending_segment *segment
           = HS_LIST_ENTRY (link, struct pending_segment, link);
 
-      if (has_key (segment, key))
+      if (segment->queued_at >= since && has_key (segment, key))
         fn (ctx, segment->data, segment->len);
     }
 }
--- a/src/entry/pending_segments.h
+++ b/src/entry/pending_segments.h
@@ -29,11 +29,12 @@
                               const struct hs_segment_key *key,
                               const uint8_t *data, size_t len, uint64_t now);
 
-/* Calls FN for each segment of the flow KEY, oldest first.  The segments stay
-   queued.  */
+/* Calls FN for each segment of the flow KEY that was queued at SINCE, in ms,
+   or later, oldest first.  The segments stay queued.  */
 void hs_pending_segments_foreach (const struct hs_pending_segments *pending,
                                   const struct hs_segment_key *key,
-                                  hs_pending_segment_fn *fn, void *ctx);
+                                  uint64_t since, hs_pending_segment_fn *fn,
+                                  void *ctx);
 
 /* Removes all segments and calls FN for each, oldest first.  A segment that
    FN adds stays queued.  */
--- a/src/entry/segment_entry.c
+++ b/src/entry/segment_entry.c
@@ -116,7 +116,7 @@
                             const struct hs_segment *segment);
 static void on_send_pending (void *ctx, const struct hs_segment_key *key,
                              const struct hs_pool_agent *agent,
-                             bool owner_only);
+                             bool owner_only, uint64_t age_max_ms);
 static void send_pending_segment (void *ctx, const uint8_t *data, size_t len);
 static void on_record_owner (void *ctx, const struct hs_pool_agent *directory,
                              const struct hs_segment_key *key,
@@ -446,12 +446,15 @@
 
 static void
 on_send_pending (void *ctx, const struct hs_segment_key *key,
-                 const struct hs_pool_agent *agent, bool owner_only)
+                 const struct hs_pool_agent *agent, bool owner_only,
+                 uint64_t age_max_ms)
 {
   struct hs_segment_entry *entry = ctx;
   struct pending_destination destination = { entry, agent, owner_only };
+  uint64_t now = hs_clock_monotonic ();
 
   hs_pending_segments_foreach (entry->pending_segments, key,
+                               age_max_ms < now ? now - age_max_ms : 0,
                                send_pending_segment, &destination);
   if (!owner_only)
     hs_pending_segments_remove (entry->pending_segments, key);
--- a/src/segment/owner_lookup.c
+++ b/src/segment/owner_lookup.c
@@ -26,6 +26,11 @@
 /* Rounds after which a lookup ends until the caller sends another segment.  */
 #define QUERY_ROUNDS_MAX 6
 
+/* Age up to which a queued segment is sent to agents that do not know whether
+   they own its flow.  By then the caller has sent it again, perhaps through
+   another entry that has found the owner.  */
+#define PROBE_AGE_MAX_MS 500
+
 /* Time for which segments of a flow without an owner are reset without another
    lookup.  */
 #define UNOWNED_TTL_MS 1500
@@ -104,7 +109,7 @@
   flow->directories_digest = 0;
   if (flow->scope != LOOKUP_DIRECTORY)
     hs_owner_lookup_record_owner (forwarder, flow, now);
-  forwarder->ops.send_pending (forwarder->ctx, key, agent, false);
+  forwarder->ops.send_pending (forwarder->ctx, key, agent, false, UINT64_MAX);
 }
 
 void
@@ -157,7 +162,10 @@
   if (!is_narrow (flow->scope))
     {
       if (agent != NULL && !is_other_recorded (forwarder, flow, agent_id))
-        forwarder->ops.send_pending (forwarder->ctx, key, agent, true);
+        forwarder->ops.send_pending (forwarder->ctx, key, agent, true,
+                                     agent_id == flow->recorded_owner_id
+                                         ? UINT64_MAX
+                                         : PROBE_AGE_MAX_MS);
       return;
     }
   if (!has_answered (flow, agent_id)
@@ -189,7 +197,7 @@
       return;
     }
   flow->recorded_owner_id = owner_id;
-  forwarder->ops.send_pending (forwarder->ctx, key, agent, true);
+  forwarder->ops.send_pending (forwarder->ctx, key, agent, true, UINT64_MAX);
 }
 
 struct hs_forward_decision
--- a/tests/fakes/herd.c
+++ b/tests/fakes/herd.c
@@ -505,12 +505,14 @@
 
 static void
 ignore_pending (void *ctx, const struct hs_segment_key *key,
-                const struct hs_pool_agent *agent, bool owner_only)
+                const struct hs_pool_agent *agent, bool owner_only,
+                uint64_t age_max_ms)
 {
   (void)ctx;
   (void)key;
   (void)agent;
   (void)owner_only;
+  (void)age_max_ms;
 }
 
 static void
--- a/tests/test_held.c
+++ b/tests/test_held.c
@@ -48,16 +48,23 @@
 }
 
 static void
-check_flow (struct hs_pending_segments *pending, uint16_t port,
-            const char *text)
+check_flow_since (struct hs_pending_segments *pending, uint16_t port,
+                  uint64_t since, const char *text)
 {
   struct hs_segment_key key = key_from_port (port);
   struct visit visit = { 0 };
 
-  hs_pending_segments_foreach (pending, &key, on_segment, &visit);
+  hs_pending_segments_foreach (pending, &key, since, on_segment, &visit);
   g_assert_cmpstr (visit.text, ==, text);
 }
 
+static void
+check_flow (struct hs_pending_segments *pending, uint16_t port,
+            const char *text)
+{
+  check_flow_since (pending, port, 0, text);
+}
+
 /* Segments are found and removed by flow and keep their order.  */
 static void
 test_by_flow (void)
@@ -111,6 +118,22 @@
   hs_pending_segments_destroy (pending);
 }
 
+/* Guards against old segments that are sent to agents which do not own their
+   flow.  */
+static void
+test_since (void)
+{
+  struct hs_pending_segments *pending = hs_pending_segments_create (NULL);
+
+  add (pending, 1, "a", 100);
+  add (pending, 1, "b", 300);
+  add (pending, 1, "c", 500);
+  check_flow_since (pending, 1, 300, "bc");
+  check_flow_since (pending, 1, 501, "");
+  check_flow (pending, 1, "abc");
+  hs_pending_segments_destroy (pending);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -118,5 +141,6 @@
   g_test_add_func ("/held/by-flow", test_by_flow);
   g_test_add_func ("/held/bounded", test_bounded);
   g_test_add_func ("/held/taken", test_flush);
+  g_test_add_func ("/held/since", test_since);
   return g_test_run ();
 }
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -47,6 +47,7 @@
   size_t sent_len;
   uint64_t sent_to_id; /* Agent id.  */
   bool sent_owner_only;
+  uint64_t sent_age_max_ms;
   size_t recorded_len;
   uint64_t directory_ids[QUERIES_MAX]; /* Directory agent of each record.  */
   uint64_t recorded_owner_id;          /* Agent id in the latest record.  */
@@ -158,7 +159,8 @@
 
 static void
 on_send_pending (void *ctx, const struct hs_segment_key *key,
-                 const struct hs_pool_agent *agent, bool owner_only)
+                 const struct hs_pool_agent *agent, bool owner_only,
+                 uint64_t age_max_ms)
 {
   struct forwarder_calls *calls = ctx;
 
@@ -166,6 +168,7 @@
   calls->sent_len++;
   calls->sent_to_id = agent->report.agent_id;
   calls->sent_owner_only = owner_only;
+  calls->sent_age_max_ms = age_max_ms;
 }
 
 static void
@@ -1669,6 +1672,7 @@
   hs_forwarder_handle_unknown (entry.forwarder, &key, owner, 1000);
   g_assert_cmpuint (entry.calls->sent_len, ==, 2);
   g_assert_cmpuint (entry.calls->sent_to_id, ==, owner);
+  g_assert_cmpuint (entry.calls->sent_age_max_ms, ==, UINT64_MAX);
   /* The entry was out of date: the others may own the flow.  */
   hs_forwarder_handle_not_owned (entry.forwarder, &key, owner, 1001);
   hs_forwarder_handle_unknown (entry.forwarder, &key, hs_id_from_name ("x"),
@@ -1851,6 +1855,9 @@
   g_assert_cmpuint (entry.calls->sent_len, ==, 1);
   g_assert_cmpuint (entry.calls->sent_to_id, ==, hs_id_from_name ("x"));
   g_assert_true (entry.calls->sent_owner_only);
+  /* Not those that the caller has sent again long ago, which other upstreams
+     would get after the owner has been found by another entry.  */
+  g_assert_cmpuint (entry.calls->sent_age_max_ms, <=, 500);
   g_assert_cmpuint (entry.calls->queried_len, >, 1);
   g_assert_cmpint (hs_forwarder_route (entry.forwarder, &data, 1).action, ==,
                    HS_FORWARD_QUEUE);
