Match a leave by the start of the upstream, too

Cause: a leave was matched by the id, and its body was not read.

Change: if the body of a leave has born, it has to be the start that the agent follows. A body that cannot be read is refused with 400; none is a leave by id, as in the documented example.

Test: segment/leave-of-earlier-start, bodies of other starts, of other types and unreadable ones. It uses the new reader and does not compile before.

--- a/include/hibiscusspan.h
+++ b/include/hibiscusspan.h
@@ -2021,9 +2021,9 @@
 bool hs_sidecar_has_claim (const struct hs_sidecar *sidecar);
 
 /* Records that the upstream stops.  Ignored if ID is not that of the last
-   heartbeat.  */
+   heartbeat, or STARTED_AT, unless 0, is another start of the upstream.  */
 void hs_sidecar_handle_upstream_leave (struct hs_sidecar *sidecar,
-                                       const char *id);
+                                       const char *id, uint64_t started_at);
 
 /* Refuses new flows from now on, since the agent stops.  Open flows
    continue.  */
--- a/src/adapter/adapter.h
+++ b/src/adapter/adapter.h
@@ -56,6 +56,13 @@
                             size_t len, struct hs_heartbeat *heartbeat,
                             GError **error);
 
+  /* Decodes the LEN bytes of BODY, with which an upstream says that it stops.
+     STARTED_AT gets the wall clock of its start, ms, or 0 if BODY does not
+     say. Returns false and sets HS_ERROR_MALFORMED if BODY is not empty and
+     cannot be read.  */
+  bool (*decode_leave) (void *ctx, const char *body, size_t len,
+                        uint64_t *started_at, GError **error);
+
   /* Decodes the LEN bytes of BODY.  Returns a configuration owned by PARENT,
      or NULL and sets HS_ERROR_MALFORMED.  Checks the types of the fields only,
      not whether the configuration is valid.  */
--- a/src/agent/segment_agent.c
+++ b/src/agent/segment_agent.c
@@ -38,7 +38,8 @@
   struct hs_http_request *request;
   enum hs_operation operation;   /* HEARTBEAT or LEAVE  */
   char id[HS_NAME_SIZE];         /* Id of the upstream.  */
-  struct hs_heartbeat heartbeat; /* HEARTBEAT  */
+  struct hs_heartbeat heartbeat; /* HEARTBEAT; LEAVE: started_at, 0 if it
+                                    does not say.  */
 };
 
 /* Described by the help texts in create_metrics.  */
@@ -371,8 +372,9 @@
   size_t len;
   const char *body = hs_http_body (call->request, &len);
 
-  if (call->operation != HS_OPERATION_HEARTBEAT)
-    return true;
+  if (call->operation == HS_OPERATION_LEAVE)
+    return adapter->decode_leave (adapter->ctx, body, len,
+                                  &call->heartbeat.started_at, error);
   return adapter->decode_heartbeat (adapter->ctx, call->id, body, len,
                                     &call->heartbeat, error);
 }
@@ -398,7 +400,8 @@
       on_heartbeat (agent, call);
       return;
     }
-  hs_sidecar_handle_upstream_leave (agent->sidecar, call->id);
+  hs_sidecar_handle_upstream_leave (agent->sidecar, call->id,
+                                    call->heartbeat.started_at);
   hs_log_write (agent->log, HS_LOG_INFO, "upstream-goodbye", "{s:s}",
                 "upstream", call->id);
   hs_http_respond (call->request, STATUS_OK, "application/json", "{}");
--- a/src/segment/sidecar_incarnation.c
+++ b/src/segment/sidecar_incarnation.c
@@ -92,9 +92,11 @@
 }
 
 void
-hs_sidecar_handle_upstream_leave (struct hs_sidecar *sidecar, const char *id)
+hs_sidecar_handle_upstream_leave (struct hs_sidecar *sidecar, const char *id,
+                                  uint64_t started_at)
 {
-  if (strcmp (sidecar->last_heartbeat.id, id) == 0)
+  if (strcmp (sidecar->last_heartbeat.id, id) == 0
+      && (started_at == 0 || started_at == sidecar->last_heartbeat.started_at))
     sidecar->state = HS_UPSTREAM_LEFT;
 }
 
--- a/tests/test_segment.c
+++ b/tests/test_segment.c
@@ -2567,7 +2567,7 @@
   g_assert_true (get_load (sidecar).no_upstream);
   send_heartbeat (sidecar, HS_UPSTREAM_READY, 2000, 1, 10);
   g_assert_false (get_load (sidecar).no_upstream);
-  hs_sidecar_handle_upstream_leave (sidecar, "i-1");
+  hs_sidecar_handle_upstream_leave (sidecar, "i-1", 0);
   g_assert_true (get_load (sidecar).no_upstream);
   talloc_free (root);
 }
@@ -2856,7 +2856,7 @@
                      == HS_SIDECAR_RESET;
             }
           if (now == 1100 && evidence == EVIDENCE_LEAVE)
-            hs_sidecar_handle_upstream_leave (sidecar, "i-1");
+            hs_sidecar_handle_upstream_leave (sidecar, "i-1", 0);
           if (is_second && evidence == EVIDENCE_REPORTS)
             send_heartbeat (sidecar, HS_UPSTREAM_READY, 2000, now, now);
           if (is_second && evidence == EVIDENCE_ANSWERS)
@@ -2873,6 +2873,41 @@
     }
 }
 
+/* Guards against a late leave of an earlier start of the upstream, under the
+   same id, that marks the present one as gone.  */
+static void
+test_leave_of_earlier_start (void)
+{
+  static const char *const bodies[] = { "{\"born\":1000}",
+                                        "{\"born\":2001}",
+                                        "{\"born\":\"2000\"}",
+                                        "{\"born\":2000.5}",
+                                        "{\"born\":null}",
+                                        "{\"born\":-1}",
+                                        "[2000]",
+                                        "nonsense",
+                                        "{\"born\":2000" };
+  static const char *const own[] = { "", "{}", "{\"born\":2000}" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bodies) + G_N_ELEMENTS (own); i++)
+    {
+      void *root = talloc_new (NULL);
+      struct resets resets = { 0 };
+      struct hs_sidecar *sidecar = create_sidecar (root, &resets, 1000);
+      bool is_own = i >= G_N_ELEMENTS (bodies);
+      const char *body = is_own ? own[i - G_N_ELEMENTS (bodies)] : bodies[i];
+      uint64_t started_at;
+
+      send_heartbeat (sidecar, HS_UPSTREAM_READY, 2000, 1, 0);
+      if (hs_platform_decode_leave (NULL, body, strlen (body), &started_at,
+                                    NULL))
+        hs_sidecar_handle_upstream_leave (sidecar, "i-1", started_at);
+      g_assert_cmpint (get_load (sidecar).state, ==,
+                       is_own ? HS_AGENT_UPSTREAM_SILENT : HS_AGENT_READY);
+      talloc_free (root);
+    }
+}
+
 /* Guards against an upstream that is ignored for good, since a heartbeat with
    a later start was believed while it was silent, or since it started again
    after its clock had been set back.  A few late heartbeats of an earlier
@@ -2968,6 +3003,8 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/segment/odd-heartbeats", test_odd_heartbeats);
   g_test_add_func ("/segment/restart-claimed", test_restart_claimed);
+  g_test_add_func ("/segment/leave-of-earlier-start",
+                   test_leave_of_earlier_start);
   g_test_add_func ("/segment/earlier-start", test_earlier_start_followed);
   g_test_add_func ("/segment/foreign-heartbeats",
                    test_foreign_heartbeats_change_nothing);
