HTTP server: guard the handler by a mutex that the thread sanitizer knows

Both hold handler_lock, a GMutex, which GLib builds on futexes, so that the sanitizer does not see the order.

--- a/src/daemon/http.c
+++ b/src/daemon/http.c
@@ -24,8 +24,8 @@
   GMutex lock;
   GCond idle;
   size_t open_requests;
-  GMutex handler_lock; /* Held during a call of the handler.  */
-  bool closed;         /* Guarded by HANDLER_LOCK.  */
+  pthread_mutex_t handler_lock; /* Held during a call of the handler.  */
+  bool closed;                  /* Guarded by HANDLER_LOCK.  */
 };
 
 struct hs_http_request
@@ -81,6 +81,7 @@
 
   http->handler = handler;
   http->ctx = ctx;
+  pthread_mutex_init (&http->handler_lock, NULL);
   hs_addr_to_sockaddr (address, &ss);
   if (!hs_addr_is_ipv4 (address))
     flags |= MHD_USE_IPv6;
@@ -116,15 +117,16 @@
 void
 hs_http_close (struct hs_http *http)
 {
-  g_mutex_lock (&http->handler_lock);
+  pthread_mutex_lock (&http->handler_lock);
   http->closed = true;
-  g_mutex_unlock (&http->handler_lock);
+  pthread_mutex_unlock (&http->handler_lock);
 }
 
 void
 hs_http_destroy (struct hs_http *http)
 {
   MHD_stop_daemon (http->daemon);
+  pthread_mutex_destroy (&http->handler_lock);
   talloc_free (http);
 }
 
@@ -211,14 +213,14 @@
   bool closed;
 
   request->dispatched = true;
-  g_mutex_lock (&http->handler_lock);
+  pthread_mutex_lock (&http->handler_lock);
   closed = http->closed;
   if (!closed)
     {
       MHD_suspend_connection (request->connection);
       http->handler (http->ctx, request);
     }
-  g_mutex_unlock (&http->handler_lock);
+  pthread_mutex_unlock (&http->handler_lock);
   if (!closed)
     return MHD_YES;
   set_response (request, MHD_HTTP_SERVICE_UNAVAILABLE, "text/plain",
